--- /dev/null
+++ b/birchslip/__init__.py
@@ -0,0 +1,1 @@
+"""birchslip: admission and scheduling for app servers behind balancers that nobody can change."""
--- /dev/null
+++ b/birchslip/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire."""
--- /dev/null
+++ b/birchslip/adapter/__main__.py
@@ -0,0 +1,10 @@
+"""Reads batches from standard input, answers each on standard output: `python -m birchslip.adapter`."""
+
+import gc
+import sys
+
+from .host import serve
+
+if __name__ == "__main__":
+    gc.freeze()
+    sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/birchslip/brain.py
@@ -0,0 +1,642 @@
+"""All decisions of birchslip. `docs/design.md` says why; the types are in `interface.py`.
+
+`driver.py` makes one `Brain` for each app server. It sets the time with `clock`, makes a generator of `path`
+for each transaction read and resumes it with what happens to it, passes on `tick` and `leave`, and after each
+batch resumes whom `settle` names. Two Brains share nothing; the same events bring the same decisions.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import insort
+from collections.abc import Generator, Iterator
+from math import ceil
+from typing import Any
+
+from .interface import (
+    NEVER_RAN,
+    SECOND,
+    Attach,
+    Below,
+    Call,
+    CallEnded,
+    Deployment,
+    Ended,
+    Event,
+    Forget,
+    Free,
+    Gauges,
+    GiveUp,
+    Go,
+    Gone,
+    Halt,
+    Health,
+    Kind,
+    Log,
+    NeedsCall,
+    Notice,
+    Outcome,
+    Place,
+    Profile,
+    Remember,
+    Shed,
+    SkipCall,
+    Start,
+    Stop,
+    Tick,
+    Transaction,
+    Wait,
+    Wish,
+    WriteOff,
+)
+
+TICK = 500  # one coarse timer: 50 ms
+WINDOWS, WINDOW = 10, SECOND  # the source's windows
+QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
+BUSY = 0.9  # the core gauge shows no room from here on
+SHORT_WAIT = 1000  # work held for longer than 100 ms counts as waiting
+LIMIT_TICK = (
+    SECOND // 2
+)  # the core gauge looks back half a second: the limit moves no faster than it can show
+RISE, CUT, SLOWED = (
+    0.25,
+    0.9,
+    2.0,
+)  # the running limit's step, its cut, and how far past its base a median may be
+LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
+PACE_SLICE = 2000  # recent pace: ten slices of 200 ms
+STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
+CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
+
+
+class Ring:
+    """Amounts in fixed buckets of time, used again in a ring."""
+
+    def __init__(self, count: int, span: int) -> None:
+        self.cells = [0] * count
+        self.span = span
+        self.slot = 0
+        self.sum = 0
+
+    def total(self, now: int) -> int:
+        slot, count = now // self.span, len(self.cells)
+        for passed in range(max(self.slot + 1, slot - count + 1), slot + 1):
+            self.sum -= self.cells[passed % count]
+            self.cells[passed % count] = 0
+        self.slot = max(slot, self.slot)
+        return self.sum
+
+    def add(self, now: int, amount: int) -> None:
+        self.total(now)
+        self.cells[self.slot % len(self.cells)] += amount
+        self.sum += amount
+
+
+class Times:
+    """What runs or calls took, in one-second buckets used again in a ring; expected and low values of it."""
+
+    def __init__(self) -> None:
+        self.cells: list[list[float]] = [[] for _ in range(MEMORY_SLICES)]
+        self.slot = 0
+        self.usual = 0.0
+        self.base = 0.0
+
+    def add(self, now: int, value: float) -> None:
+        self.refresh(now)
+        self.cells[self.slot % MEMORY_SLICES].append(value)
+        if not self.usual:
+            self.usual = self.base = value
+
+    def refresh(self, now: int) -> None:
+        """Once a second: the usual is the mean and the base a low percentile, both of the whole ring."""
+        slot = now // SECOND
+        if slot <= self.slot:
+            return
+        known = sorted(value for cell in self.cells for value in cell)
+        if known:
+            self.usual, self.base = sum(known) / len(known), known[int(len(known) * LOW)]
+        for passed in range(max(self.slot + 1, slot - MEMORY_SLICES + 1), slot + 1):
+            self.cells[passed % MEMORY_SLICES] = []
+        self.slot = slot
+
+    def recent(self, now: int) -> list[float]:
+        """The last window's values in order."""
+        self.refresh(now)
+        return sorted(v for k in range(WINDOWS) for v in self.cells[(self.slot - k) % MEMORY_SLICES])
+
+
+class Meter:
+    """The source's sensor for one caller or tenant."""
+
+    def __init__(self, told: float = 0.0) -> None:
+        self.ring = Ring(WINDOWS, WINDOW)
+        self.told = told
+
+    def delay(self, now: int, quota: float) -> int:
+        """delay = (window total - bound) / quota per second."""
+        bound = quota * WINDOWS * WINDOW / SECOND
+        return max(0, ceil((self.ring.total(now) - bound) / quota * SECOND))
+
+
+class Brain:
+    """The decisions of one app server."""
+
+    def __init__(self, deployment: Deployment, now: int) -> None:
+        self.site = deployment
+        self.now = self.started = self.since = now
+        self.notices: list[Notice] = [Health(True), Tick(now + TICK)]
+        self.chance = deployment.seed
+        self.serial = 0
+        # the source's windows
+        self.callers: dict[int, Meter] = {}
+        self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
+        self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
+        self.binding = self.crowded = False
+        # the hold, the cores and the calls below
+        self.limit = float(deployment.cores)
+        self.limit_moved = self.limit_cut = now
+        self.hold: list[tuple[int, int, Transaction]] = []
+        self.queue: list[tuple[int, int, Transaction]] = []
+        self.on_cores: dict[Transaction, None] = {}
+        self.in_hand = 0
+        self.lingering: list[int] = []
+        self.next_call = now
+        self.begun = 0
+        # what things take
+        self.runs = {profile: Times() for profile in deployment.profiles}
+        self.off_core = {profile: Times() for profile in deployment.profiles}
+        self.all_runs, self.calls = Times(), Times()
+        self.patience: dict[tuple[int, Profile], int] = {}
+        self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
+        self.stretch, self.call_time = 1.0, 0.0
+        # memory, labels, health and drain
+        self.memory = 0
+        self.labels: list[tuple[int, int, Transaction]] = []
+        self.watch: list[tuple[int, int, Transaction]] = []
+        self.good = True
+        self.free = -1.0
+        self.leaving: int | None = None
+        self.end: int | None = None
+
+    # ---- the path of a transaction -------------------------------------------------------------------------
+
+    def path(self, tx: Transaction) -> Generator[Wish, Any, None]:
+        """The ordinary path, from the reading to the final answer."""
+        self.take_in(tx)
+        if tx.original is not None and (tx.original.has_run or tx.original.place is not Place.ENDED):
+            yield from self.repeat(tx)
+            return
+        if not self.has_room(tx):
+            yield self.shed(0)
+            return
+        delay = self.count(tx)
+        if not self.fits(tx, delay):
+            self.uncount(tx)
+            yield self.shed(delay)
+            return
+        self.enter_hold(tx, delay)
+        if tx.profile.kind is Kind.LABELLED:
+            yield Remember(tx.profile.window)
+        event = yield Wait()
+        self.hold.remove((tx.by, tx.serial, tx))
+        if not isinstance(event, Go):
+            self.uncount(tx)
+            self.weigh(tx, 0)
+            tx.place = Place.ENDED
+            if tx.profile.kind is Kind.LABELLED:
+                self.forget(tx)
+                yield Forget()
+            if isinstance(event, GiveUp):
+                yield self.shed(event.after)
+            return
+        tx.has_run = True
+        self.begun += 1
+        self.weigh(tx, ceil(tx.size * self.site.run_factor))
+        self.to_cores(tx)
+        event = yield Start()
+        while not isinstance(event, Ended):
+            if isinstance(event, NeedsCall):
+                event = yield from self.call_below(tx)
+            else:
+                event = yield from self.cut_off(tx, event)
+        self.off_cores(tx)
+        self.begun -= 1
+        self.weigh(tx, 0)
+        tx.place = Place.ENDED
+        self.learn(tx, event)
+
+    def repeat(self, tx: Transaction) -> Generator[Wish, Any, None]:
+        """A repeat of what is held, runs or has run shares that outcome: no effect and no work twice."""
+        if self.memory + tx.size > self.site.memory:
+            yield WriteOff()
+            return
+        self.weigh(tx, tx.size)
+        tx.place = Place.ATTACHED
+        self.watch_over(tx)
+        event = yield Attach()
+        tx.place = Place.ENDED
+        self.weigh(tx, 0)
+        if isinstance(event, GiveUp):
+            yield WriteOff()
+
+    def call_below(self, tx: Transaction) -> Generator[Wish, Any, Event]:
+        """Wait for a turn, call, and go on; where it can't fit, leave the call out or end the transaction."""
+        self.off_cores(tx)
+        left_at = self.now
+        tx.place = Place.CALL_QUEUE
+        insort(self.queue, (tx.by, tx.serial, tx))
+        event: Event = yield Wait()
+        self.queue.remove((tx.by, tx.serial, tx))
+        if isinstance(event, Go):
+            tx.place = Place.CALLING
+            self.in_hand += 1
+            limit = self.call_limit(tx)
+            tx.call_at = self.now
+            event = yield Call(limit)
+            while isinstance(event, GiveUp | Gone):
+                event = yield from self.cut_off(tx, event)
+            self.call_over(tx, event)
+        if isinstance(event, CallEnded) and event.outcome is Outcome.HONOURED:
+            tx.off_time += self.now - left_at
+            self.to_cores(tx)
+            event = yield Wait()
+            return event
+        if isinstance(event, CallEnded) and self.may_call_again(tx, event.outcome):
+            return NeedsCall()
+        if isinstance(event, CallEnded | GiveUp):
+            if tx.profile.skip_payoff > 0 and not tx.answered and self.now < tx.due - TICK:
+                self.to_cores(tx)
+                event = yield SkipCall()
+                return event
+            return (yield from self.cut_off(tx, GiveUp()))
+        return event
+
+    def cut_off(self, tx: Transaction, event: Event) -> Generator[Wish, Any, Event]:
+        """The final answer of one that has begun, at once; its run is stopped where that frees something."""
+        if isinstance(event, GiveUp) and not tx.answered:
+            tx.answered = True
+            yield WriteOff()
+        elif isinstance(event, Gone):
+            tx.answered = True
+        # A labelled run goes on: its repeat shares its outcome, and a stopped one may not start again.
+        if tx.answered and tx.place is Place.CORES and self.may_stop(tx):
+            yield Stop()
+        event = yield Wait()
+        return event
+
+    # ---- quota: the source's windows and delay -------------------------------------------------------------
+
+    def count(self, tx: Transaction) -> int:
+        """Count it in its caller's and tenant's windows; the delay that they ask for."""
+        meter = self.callers.setdefault(tx.caller, Meter())
+        meter.ring.add(self.now, tx.size)
+        delays = [0]
+        if self.binding:
+            delays.append(meter.delay(self.now, self.derived_quota()))
+        if tx.tenant is not None:
+            meter = self.tenants[tx.tenant]
+            meter.ring.add(self.now, 1)
+            if self.binding and meter.told > 0:
+                delays.append(meter.delay(self.now, meter.told))
+        return max(delays)
+
+    def uncount(self, tx: Transaction) -> None:
+        """What never ran is taken out again, or a caller that goes on asking would be shut out whole."""
+        self.callers[tx.caller].ring.add(self.now, -tx.size)
+        if tx.tenant is not None:
+            self.tenants[tx.tenant].ring.add(self.now, -1)
+
+    def heard(self) -> int:
+        return max(1, sum(1 for meter in self.callers.values() if meter.ring.total(self.now) > 0))
+
+    def derived_quota(self) -> float:
+        """Bytes a second: twice the even share of those honoured, at least that of what the limit serves."""
+        span = WINDOWS * WINDOW / SECOND
+        honoured = self.honoured.total(self.now) / span
+        heard = self.heard()
+        return max(1.0, QUOTA_SHARES * honoured / heard, self.could_serve() / heard)
+
+    def could_serve(self) -> float:
+        """Bytes a second that the running limit could serve, at the usual run time and mean size."""
+        number = self.honoured_number.total(self.now)
+        if not number or not self.all_runs.usual:
+            return 0.0
+        return self.limit * SECOND / self.all_runs.usual * self.honoured.total(self.now) / number
+
+    def heaviness(self, tx: Transaction) -> float:
+        """How far its caller or tenant has come against its quota."""
+        own = self.callers[tx.caller].ring.total(self.now) / self.derived_quota()
+        if tx.tenant is not None and self.tenants[tx.tenant].told > 0:
+            meter = self.tenants[tx.tenant]
+            return max(own, meter.ring.total(self.now) / meter.told)
+        return own
+
+    # ---- the hold ------------------------------------------------------------------------------------------
+
+    def take_in(self, tx: Transaction) -> None:
+        """By when it is wanted: its latency goal, counted from its first try as far as that shows.
+
+        A further try brings what is left of its caller's wait: what is missing from the longest wait seen
+        with that caller and profile is its age.
+        """
+        self.serial += 1
+        tx.serial = self.serial
+        wait = tx.due - tx.arrived
+        longest = max(wait, self.patience.get((tx.caller, tx.profile), 0))
+        self.patience[tx.caller, tx.profile] = longest
+        tx.by = min(tx.due, tx.arrived - (longest - wait) + tx.profile.goal)
+
+    def has_room(self, tx: Transaction) -> bool:
+        """Not past the grace of a drain, and within the memory, what its label will take included."""
+        if self.leaving is not None and tx.arrived > self.leaving + self.site.grace:
+            return False
+        label = self.site.key_size if tx.profile.kind is Kind.LABELLED else 0
+        return self.memory + tx.size + label <= MEMORY_USED * self.site.memory
+
+    def typical(self, tx: Transaction) -> float:
+        """The time on a core that one like it usually takes, from its cost where that is told."""
+        return self.runs[tx.profile].usual * max(1, tx.work)
+
+    def rest(self, tx: Transaction) -> float:
+        return max(0.0, self.typical(tx) * self.stretch - tx.core_time)
+
+    def needs(self, tx: Transaction) -> float:
+        """The time from its start to its answer, as things go now."""
+        return self.rest(tx) + self.off_core[tx.profile].usual
+
+    def wanted(self, tx: Transaction) -> int:
+        return tx.by if self.end is None else min(tx.by, self.end - 2 * TICK)
+
+    def fits(self, tx: Transaction, delay: float) -> bool:
+        """One that finds the cores empty is tried whatever the figures say: nothing else would mend them."""
+        needed = 0.0 if not self.on_cores and not delay else self.needs(tx)
+        return self.now + delay + needed < self.wanted(tx)
+
+    def enter_hold(self, tx: Transaction, delay: int) -> None:
+        tx.place = Place.HOLD
+        tx.ready = self.now + delay
+        insort(self.hold, (tx.by, tx.serial, tx))
+        self.weigh(tx, tx.size)
+        self.watch_over(tx)
+        if tx.profile.kind is Kind.LABELLED:
+            self.memory += self.site.key_size
+            tx.remembered = True
+            heapq.heappush(self.labels, (self.now + tx.profile.window + TICK, tx.serial, tx))
+
+    def forget(self, tx: Transaction) -> None:
+        if tx.remembered:
+            tx.remembered = False
+            self.memory -= self.site.key_size
+
+    def weigh(self, tx: Transaction, size: int) -> None:
+        self.memory += size - tx.memory
+        tx.memory = size
+
+    def watch_over(self, tx: Transaction) -> None:
+        heapq.heappush(self.watch, (tx.due - TICK, tx.serial, tx))
+
+    def shed(self, delay: float) -> Shed:
+        """The refusal says when to come back; in overload it also asks not to try elsewhere."""
+        if not self.site.advises:
+            return Shed()
+        after = ceil(max(delay, self.wait_for_core(), TICK) * (0.75 + self.draw() / 2))
+        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
+
+    def draw(self) -> float:
+        """A linear congruential generator; its high bits spread the moments at which callers come back."""
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return (self.chance >> 40) / (1 << 24)
+
+    def wait_for_core(self) -> float:
+        if len(self.on_cores) < int(self.limit):
+            return 0.0
+        return self.all_runs.usual * self.stretch / self.limit
+
+    def sweep(self) -> Iterator[tuple[Transaction, Event]]:
+        """What can no longer be answered in time is answered at once, not kept.
+
+        Where the hold, run in due order, would leave one behind, the transaction that goes is one of the
+        caller that has come furthest against its quota, of those up to the one left behind.
+        """
+        ahead = self.wait_for_core()
+        kept: list[Transaction] = []
+        lost: list[Transaction] = []
+        for _, _, tx in self.hold:
+            first = not kept and not self.on_cores
+            if self.now + (0.0 if first else self.needs(tx)) >= self.wanted(tx):
+                lost.append(tx)
+                continue
+            kept.append(tx)
+            ahead += self.rest(tx) / self.limit
+            while (
+                self.now + ahead - self.rest(tx) / self.limit + self.needs(tx) >= self.wanted(tx)
+                and not first
+            ):
+                heavy = max(reversed(kept), key=self.heaviness)
+                kept.remove(heavy)
+                lost.append(heavy)
+                ahead -= self.rest(heavy) / self.limit
+                if heavy is tx:
+                    break
+        for tx in lost:
+            yield tx, GiveUp(ceil(ahead))
+
+    def starts(self) -> Iterator[tuple[Transaction, Event]]:
+        """Held transactions start by due time, those under a delay once it has passed or binds no more."""
+        while len(self.on_cores) < int(self.limit) and self.begun < CROWD_USED * self.crowd():
+            tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.binding), None)
+            if tx is None:
+                return
+            more = tx.size * (self.site.run_factor - 1)
+            if self.memory + more > MEMORY_USED * self.site.memory:
+                return
+            yield tx, Go()
+
+    def crowd(self) -> float:
+        """How many on the cores the app server survives; while it warms up, fewer."""
+        warm = 1.0
+        if self.site.cold and self.site.cold_span:
+            grown = min(1.0, (self.now - self.started) / self.site.cold_span)
+            warm = self.site.cold_from + (1 - self.site.cold_from) * grown
+        return (1 + (self.site.crowd_multiple - 1) * warm) * self.site.cores
+
+    # ---- runs ----------------------------------------------------------------------------------------------
+
+    def to_cores(self, tx: Transaction) -> None:
+        tx.place = Place.CORES
+        tx.on_since = self.now
+        self.on_cores[tx] = None
+
+    def off_cores(self, tx: Transaction) -> None:
+        if tx in self.on_cores:
+            del self.on_cores[tx]
+            tx.core_time += self.now - tx.on_since
+
+    def learn(self, tx: Transaction, ended: Ended) -> None:
+        """Run times without the calls; a stopped run counts as far as it got."""
+        typical = self.typical(tx)
+        if ended.outcome not in (Outcome.HONOURED, Outcome.ERRED):
+            self.done.add(self.now, min(tx.core_time, ceil(typical)))
+            return
+        self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
+        self.off_core[tx.profile].add(self.now, tx.off_time)
+        self.all_runs.add(self.now, tx.core_time)
+        self.done.add(self.now, ceil(typical) or tx.core_time)
+        if ended.outcome is Outcome.HONOURED and not tx.answered:
+            self.honoured.add(self.now, tx.size)
+            self.honoured_number.add(self.now, 1)
+
+    def may_stop(self, tx: Transaction) -> bool:
+        return self.site.halt is not Halt.OFF and tx.profile.kind is Kind.REDOABLE
+
+    def overdue(self) -> Iterator[tuple[Transaction, Event]]:
+        """No transaction is lost: what has no answer at its due time or the process's end gets one."""
+        while self.watch and (self.watch[0][0] <= self.now or self.ending()):
+            tx = heapq.heappop(self.watch)[2]
+            if tx.place is not Place.ENDED and not tx.answered:
+                yield tx, GiveUp()
+        if self.hold and self.site.halt is not Halt.OFF:
+            # A run past its latency goal earns nothing: while others wait for its core, it gives way to them.
+            for tx in [t for t in self.on_cores if self.now >= t.by and not t.profile.late_payoff]:
+                if not tx.answered and self.may_stop(tx):
+                    yield tx, GiveUp()
+
+    def ending(self) -> bool:
+        return self.end is not None and self.now >= self.end - 2 * TICK
+
+    # ---- calls below ---------------------------------------------------------------------------------------
+
+    def allowed_calls(self) -> float:
+        """How many calls may be in hand: the share told, less as they take longer than their base."""
+        own = self.site.calls_share if self.site.below is Below.SHARED else CROWD_USED * self.crowd()
+        if not self.call_time or not self.calls.base:
+            return own
+        return max(min(1.0, own), own * min(1.0, self.calls.base / self.call_time))
+
+    def next_calls(self) -> Iterator[tuple[Transaction, Event]]:
+        """Calls go out by due time at a rate that follows their recent time; abandoned ones count too.
+
+        A call that can't fit is left out where a part of the payoff is still earned.
+        """
+        while self.lingering and self.lingering[0] <= self.now:
+            heapq.heappop(self.lingering)
+        allowed = self.allowed_calls()
+        space = self.call_time / allowed
+        for place, (_, _, tx) in enumerate(list(self.queue)):
+            answer_at = self.now + place * space + self.call_time + self.rest(tx)
+            no_time = tx.profile.skip_payoff and self.call_time and answer_at >= self.wanted(tx)
+            if no_time or (self.now >= tx.by and not tx.profile.late_payoff):
+                yield tx, GiveUp()
+            elif self.in_hand + len(self.lingering) + 1 <= max(1.0, allowed) and self.next_call <= self.now:
+                self.next_call = max(self.next_call, self.now - TICK) + ceil(space)
+                yield tx, Go()
+
+    def call_limit(self, tx: Transaction) -> int:
+        left = tx.due - self.now - TICK
+        if tx.profile.skip_payoff:
+            left = min(left, self.wanted(tx) - self.now - ceil(self.rest(tx)))
+        if self.site.below is Below.SHARED and self.site.calls_share < 1:
+            # A share under one call: one alone may not fill the span by itself.
+            left = min(left, ceil(self.site.calls_share * self.site.calls_span) - self.site.linger)
+        return max(10, left)
+
+    def call_over(self, tx: Transaction, event: Event) -> None:
+        self.in_hand -= 1
+        took = self.now - tx.call_at
+        if not isinstance(event, CallEnded) or event.outcome is Outcome.OVERDUE:
+            heapq.heappush(self.lingering, self.now + self.site.linger)
+            took += self.site.linger
+        elif event.outcome is not Outcome.HONOURED:
+            # A refused or cut call says that what lies below is in trouble, however quickly it says so.
+            took = max(took, ceil(2 * self.call_time))
+        self.calls.add(self.now, took)
+        share = self.allowed_calls()
+        if share < 1:
+            self.next_call = max(self.next_call, tx.call_at + ceil(took / share))
+
+    def may_call_again(self, tx: Transaction, outcome: Outcome) -> bool:
+        """Only where the earlier call is known not to have run."""
+        return outcome in NEVER_RAN and not tx.answered and self.now < tx.by
+
+    # ---- time, health and drain ----------------------------------------------------------------------------
+
+    def clock(self, now: int) -> None:
+        self.spent.add(now, len(self.on_cores) * (now - self.now))
+        self.now = now
+
+    def tick(self, gauges: Gauges) -> None:
+        now = self.now
+        self.notices.append(Tick(now + TICK))
+        while self.labels and self.labels[0][0] <= now:
+            self.forget(heapq.heappop(self.labels)[2])
+        prior = ceil(2 * self.all_runs.usual)
+        if prior:
+            self.stretch = (self.spent.total(now) + prior) / (self.done.total(now) + prior)
+        recent = self.calls.recent(now)
+        self.call_time = sum(recent) / len(recent) if recent else self.calls.usual
+        full = len(self.on_cores) >= int(self.limit)
+        busy = full if gauges.cores_used is None else gauges.cores_used >= BUSY
+        self.crowded = busy and any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold)
+        binding = self.crowded and now - self.started >= WINDOWS * WINDOW
+        if binding and not self.binding:
+            self.log("quota binds")
+        self.binding = binding
+        self.move_limit(busy)
+        self.judge_health()
+        self.say_free()
+
+    def move_limit(self, busy: bool) -> None:
+        """Up while the cores show room and work is held, down once per window when runs are slowed."""
+        now, cores = self.now, self.site.cores
+        if not busy and self.hold and now - self.limit_moved >= LIMIT_TICK:
+            self.limit, self.limit_moved = self.limit + max(1.0, self.limit * RISE), now
+        elif busy and self.limit > cores and now - self.limit_cut >= WINDOWS * WINDOW and self.runs_slowed():
+            self.limit, self.limit_cut = self.limit * CUT, now
+        self.limit = max(float(cores), min(self.limit, CROWD_USED * self.crowd()))
+
+    def runs_slowed(self) -> bool:
+        for times in self.runs.values():
+            recent = times.recent(self.now)
+            if recent and recent[len(recent) // 2] > SLOWED * times.base:
+                return True
+        return False
+
+    def judge_health(self) -> None:
+        """Checks hear that runs hardly end here any more, for whatever reason, and when that is over."""
+        good = self.leaving is None and self.stretch < (STUCK if self.good else MENDED)
+        if good != self.good:
+            self.good = good
+            self.notices.append(Health(good))
+            self.log(f"health {'good' if good else 'bad'}: runs take {self.stretch:.1f} times the usual")
+
+    def say_free(self) -> None:
+        """How many a caller may have outstanding here: what the server survives, or what it can serve."""
+        if not self.site.takes_credit:
+            return
+        value = CROWD_USED * self.crowd()
+        if self.leaving is not None:
+            value = 0.0
+        elif self.crowded:
+            value = max(1.0, 2 * self.limit / self.heard())
+        if value != self.free:
+            self.free = value
+            self.notices.append(Free(value))
+
+    def leave(self, end: int) -> None:
+        self.leaving, self.end = self.now, end
+        self.log("leaving")
+        self.judge_health()
+        self.say_free()
+
+    def log(self, text: str) -> None:
+        self.notices.append(Log(text))
+
+    def settle(self) -> Iterator[tuple[Transaction, Event]]:
+        """After each batch, who goes on: the final answers that are due, then calls, then starts."""
+        yield from self.overdue()
+        if self.hold:
+            yield from self.sweep()
+        if self.queue:
+            yield from self.next_calls()
+        if self.hold:
+            yield from self.starts()
--- /dev/null
+++ b/birchslip/driver.py
@@ -0,0 +1,62 @@
+"""Carries decisions out: resumes generators, passes on what they yield, delivers events. Decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .brain import Brain
+from .interface import WAITS, Deployment, Event, Gauges, Notice, Transaction, Wish
+
+
+class Driver:
+    """One app server. `carry` takes what a transaction wishes, `tell` what concerns the whole app server."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        now: int,
+        carry: Callable[[Transaction, Wish], None],
+        tell: Callable[[Notice], None],
+    ) -> None:
+        self.carry = carry
+        self.tell = tell
+        self.brain = Brain(deployment, now)
+        self._tell_all()
+
+    def clock(self, now: int) -> None:
+        self.brain.clock(now)
+
+    def arrive(self, transaction: Transaction) -> None:
+        transaction.path = self.brain.path(transaction)
+        self.deliver(transaction, None)
+
+    def deliver(self, transaction: Transaction, event: Event | None) -> None:
+        """Resume a transaction until it waits again; one that has ended hears nothing."""
+        path = transaction.path
+        if path is None:
+            return
+        try:
+            wish = path.send(event)
+            self.carry(transaction, wish)
+            while not isinstance(wish, WAITS):
+                wish = path.send(None)
+                self.carry(transaction, wish)
+        except StopIteration:
+            transaction.path = None
+
+    def tick(self, gauges: Gauges) -> None:
+        self.brain.tick(gauges)
+
+    def leave(self, end: int) -> None:
+        self.brain.leave(end)
+
+    def settle(self) -> None:
+        """After each batch: the decisions pick who goes on, one at a time, and say what they have to say."""
+        for transaction, event in self.brain.settle():
+            self.deliver(transaction, event)
+        self._tell_all()
+
+    def _tell_all(self) -> None:
+        for notice in self.brain.notices:
+            self.tell(notice)
+        self.brain.notices.clear()
