--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -13,7 +13,7 @@
 from math import ceil
 from typing import Any
 
-from .interface import (
+from .interface import (  # fmt: skip
     NEVER_RAN,
     SECOND,
     Attach,
@@ -37,7 +37,6 @@
     Notice,
     Outcome,
     Place,
-    Profile,
     Remember,
     Shed,
     SkipCall,
@@ -98,12 +97,13 @@
     def __init__(self) -> None:
         self.cells: list[list[float]] = [[] for _ in range(MEMORY_SLICES)]
         self.slot = 0
-        self.usual = 0.0
-        self.base = 0.0
+        self.usual = self.base = 0.0
+        self.number = 0
 
     def add(self, now: int, value: float) -> None:
         self.refresh(now)
         self.cells[self.slot % MEMORY_SLICES].append(value)
+        self.number += 1
         if not self.usual:
             self.usual = self.base = value
 
@@ -152,6 +152,7 @@
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         self.binding = self.crowded = False
+        self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
         self.limit_moved = self.limit_cut = now
@@ -166,7 +167,6 @@
         self.runs = {profile: Times() for profile in deployment.profiles}
         self.off_core = {profile: Times() for profile in deployment.profiles}
         self.all_runs, self.calls = Times(), Times()
-        self.patience: dict[tuple[int, Profile], int] = {}
         self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         self.stretch, self.call_time = 1.0, 0.0
         # memory, labels, health and drain
@@ -334,17 +334,10 @@
     # ---- the hold ------------------------------------------------------------------------------------------
 
     def take_in(self, tx: Transaction) -> None:
-        """By when it is wanted: its latency goal, counted from its first try as far as that shows.
-
-        A further try brings what is left of its caller's wait: what is missing from the longest wait seen
-        with that caller and profile is its age.
-        """
+        """By when it is wanted: its latency goal from here on; the age of a further try does not show."""
         self.serial += 1
         tx.serial = self.serial
-        wait = tx.due - tx.arrived
-        longest = max(wait, self.patience.get((tx.caller, tx.profile), 0))
-        self.patience[tx.caller, tx.profile] = longest
-        tx.by = min(tx.due, tx.arrived - (longest - wait) + tx.profile.goal)
+        tx.by = min(tx.due, tx.arrived + tx.profile.goal)
 
     def has_room(self, tx: Transaction) -> bool:
         """Not past the grace of a drain, and within the memory, what its label will take included."""
@@ -569,8 +562,8 @@
         self.notices.append(Tick(now + TICK))
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
-        prior = ceil(2 * self.all_runs.usual)
-        if prior:
+        if self.all_runs.number >= 3 * self.site.cores:
+            prior = ceil(2 * self.all_runs.usual)
             self.stretch = (self.spent.total(now) + prior) / (self.done.total(now) + prior)
         recent = self.calls.recent(now)
         self.call_time = sum(recent) / len(recent) if recent else self.calls.usual
@@ -578,8 +571,9 @@
         busy = full if gauges.cores_used is None else gauges.cores_used >= BUSY
         self.crowded = busy and any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold)
         binding = self.crowded and now - self.started >= WINDOWS * WINDOW
-        if binding and not self.binding:
-            self.log("quota binds")
+        if binding and now - self.logged >= WINDOWS * WINDOW:
+            self.logged = now
+            self.log(f"quota binds: {len(self.hold)} held, {len(self.on_cores)} on the cores")
         self.binding = binding
         self.move_limit(busy)
         self.judge_health()
