--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -166,7 +166,7 @@
         # what things take
         self.runs = {profile: Times() for profile in deployment.profiles}
         self.off_core = {profile: Times() for profile in deployment.profiles}
-        self.all_runs, self.calls = Times(), Times()
+        self.all_runs, self.all_off, self.calls = Times(), Times(), Times()
         self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         self.stretch, self.call_time = 1.0, 0.0
         # memory, labels, health and drain
@@ -436,7 +436,7 @@
 
     def starts(self) -> Iterator[tuple[Transaction, Event]]:
         """Held transactions start by due time, those under a delay once it has passed or binds no more."""
-        while len(self.on_cores) < int(self.limit) and self.begun < CROWD_USED * self.crowd():
+        while len(self.on_cores) < int(self.limit) and self.begun < self.open_bound():
             tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.binding), None)
             if tx is None:
                 return
@@ -445,6 +445,14 @@
                 return
             yield tx, Go()
 
+    def open_bound(self) -> float:
+        """How many may have begun: the limit, and beside it as many as usually wait for calls meanwhile.
+
+        Without it those back from calls crowd the cores beside the newly started.
+        """
+        at_calls = self.all_off.usual / self.all_runs.usual if self.all_runs.usual else 1.0
+        return min(self.limit * (1 + at_calls) + 1, CROWD_USED * self.crowd())
+
     def crowd(self) -> float:
         """How many on the cores the app server survives; while it warms up, fewer."""
         warm = 1.0
@@ -474,6 +482,7 @@
         self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
         self.off_core[tx.profile].add(self.now, tx.off_time)
         self.all_runs.add(self.now, tx.core_time)
+        self.all_off.add(self.now, tx.off_time)
         self.done.add(self.now, ceil(typical) or tx.core_time)
         if ended.outcome is Outcome.HONOURED and not tx.answered:
             self.honoured.add(self.now, tx.size)
