Raise the running limit only when it was full for the gauge's whole look-back

Cause: the core gauge looks back half a second, so at the head of each burst it showed room while work was held, and the limit rose to three times the cores, where runs slow each other down. It also holds against any lagging gauge; it could hurt where runs wait for disk without notice and bursts are shorter than the look-back.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -590,8 +590,11 @@
 
     def move_limit(self, busy: bool) -> None:
         """Up while the cores show room and work is held, down once per window when runs are slowed."""
+        # The gauge looks back: it shows room beside a full limit only after its whole span with work held.
         now, cores = self.now, self.site.cores
-        if not busy and self.hold and now - self.limit_moved >= LIMIT_TICK:
+        if not self.hold or len(self.on_cores) < int(self.limit):
+            self.limit_moved = now
+        if not busy and now - self.limit_moved >= LIMIT_TICK:
             self.limit, self.limit_moved = self.limit + max(1.0, self.limit * RISE), now
         elif busy and self.limit > cores and now - self.limit_cut >= WINDOWS * WINDOW and self.runs_slowed():
             self.limit, self.limit_cut = self.limit * CUT, now
