--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -135,7 +135,6 @@
                 outer=early(outer),
                 late_payoff=told.real(f"{name}.late_worth", 0.0),
                 window=late(told.real(f"{name}.window_s", 0.0)),
-                calls=told.listed("family_info.calls_by_class", place, "true") == "true",
                 skip_payoff=number(
                     told.listed("family_info.class_skip_worth", place, "0"), "family_info.class_skip_worth"
                 ),
@@ -156,7 +155,6 @@
         key_size=ceil(told.real("family_info.key_kb", 0.0) * 1024),
         halt=HALTS.get(told.text("family_info.halt", "off"), Halt.OFF),
         fleet=max(1, int(told.real("group_size", plain.fleet))),
-        callers=max(1, int(told.real("family_info.clients_total", plain.callers))),
         cold=told.flag("family_info.cold"),
         cold_from=told.real("contract.cold_from", plain.cold_from),
         cold_span=late(told.real("contract.cold_s", 0.0)),
@@ -178,7 +176,7 @@
         for pair in text.split(","):
             name, _, value = pair.partition(":")
             seen[name] = number(value, f"gauge {name[:40]}")
-    return Gauges(cores_used=seen.get("core_use"), links=seen.get("links"))
+    return Gauges(cores_used=seen.get("core_use"))
 
 
 def outcome(text: str) -> Outcome:
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -13,41 +13,15 @@
 from math import ceil
 from typing import Any
 
-from .interface import (  # fmt: skip
-    NEVER_RAN,
-    SECOND,
-    Attach,
-    Below,
-    Call,
-    CallEnded,
-    Deployment,
-    Ended,
-    Event,
-    Forget,
-    Free,
-    Gauges,
-    GiveUp,
-    Go,
-    Gone,
-    Halt,
-    Health,
-    Kind,
-    Log,
-    NeedsCall,
-    Notice,
-    Outcome,
-    Place,
-    Remember,
-    Shed,
-    SkipCall,
-    Start,
-    Stop,
-    Tick,
-    Transaction,
-    Wait,
-    Wish,
-    WriteOff,
+# fmt: off
+# isort: off
+from .interface import (
+    NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Free, Gauges,
+    GiveUp, Go, Gone, Halt, Health, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
+    SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
+# isort: on
+# fmt: on
 
 TICK = 500  # one coarse timer: 50 ms
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -47,7 +47,6 @@
     outer: int
     late_payoff: float = 0.0
     window: int = 0
-    calls: bool = False
     skip_payoff: float = 0.0
 
 
@@ -70,13 +69,11 @@
     key_size: int = 0
     halt: Halt = Halt.OFF
     fleet: int = 1
-    callers: int = 1
     cold: bool = False
     cold_from: float = 1.0
     cold_span: int = 0
     crowd_multiple: float = 3.0
     grace: int = 0
-    slack: int = 0
     below: Below = Below.OFF
     calls_share: float = 1.0
     calls_span: int = SECOND
@@ -273,4 +270,3 @@
     """The app server's own gauges; None where it has no such gauge."""
 
     cores_used: float | None = None
-    links: float | None = None
