--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -108,6 +108,8 @@
 
     def delay(self, now: int, quota: float) -> int:
         """delay = (window total - bound) / quota per second."""
+        if quota <= 0:
+            return 0
         bound = quota * WINDOWS * WINDOW / SECOND
         return max(0, ceil((self.ring.total(now) - bound) / quota * SECOND))
 
@@ -270,7 +272,7 @@
         if tx.tenant is not None:
             meter = self.tenants[tx.tenant]
             meter.ring.add(self.now, 1)
-            if self.binding and meter.told > 0:
+            if self.binding:
                 delays.append(meter.delay(self.now, meter.told))
         return max(delays)
 
@@ -284,11 +286,14 @@
         return max(1, sum(1 for meter in self.callers.values() if meter.ring.total(self.now) > 0))
 
     def derived_quota(self) -> float:
-        """Bytes a second: twice the even share of those honoured, at least that of what the limit serves."""
+        """Bytes a second: twice the even share of those honoured, at least that of what the limit serves.
+
+        None, that is 0, where nothing has been honoured: the cores are stuck, and no caller is to blame.
+        """
         span = WINDOWS * WINDOW / SECOND
         honoured = self.honoured.total(self.now) / span
         heard = self.heard()
-        return max(1.0, QUOTA_SHARES * honoured / heard, self.could_serve() / heard)
+        return max(QUOTA_SHARES * honoured / heard, self.could_serve() / heard)
 
     def could_serve(self) -> float:
         """Bytes a second that the running limit could serve, at the usual run time and mean size."""
@@ -299,7 +304,7 @@
 
     def heaviness(self, tx: Transaction) -> float:
         """How far its caller or tenant has come against its quota."""
-        own = self.callers[tx.caller].ring.total(self.now) / self.derived_quota()
+        own = self.callers[tx.caller].ring.total(self.now) / max(1.0, self.derived_quota())
         if tx.tenant is not None and self.tenants[tx.tenant].told > 0:
             meter = self.tenants[tx.tenant]
             return max(own, meter.ring.total(self.now) / meter.told)
--- /dev/null
+++ b/tests/desk.py
@@ -0,0 +1,71 @@
+"""One app server without a wire: what happens is told by hand, what is wished for is kept."""
+
+from birchslip.driver import Driver
+from birchslip.interface import (
+    SECOND,
+    Deployment,
+    Ended,
+    Gauges,
+    Kind,
+    Outcome,
+    Profile,
+    Transaction,
+)
+
+MS = SECOND // 1000
+HONOURED = Ended(Outcome.HONOURED)
+
+
+def profile(kind=Kind.REDOABLE, goal=1000, outer=4000, **more):
+    return Profile(kind, goal * MS, outer * MS, **more)
+
+
+class Desk:
+    """Times are given in milliseconds."""
+
+    def __init__(self, *profiles, **site):
+        self.profiles = profiles or (profile(),)
+        self.said, self.told, self.now = [], [], 0
+        site = {"cores": 2, "fleet": 1, **site}
+        self.driver = Driver(
+            Deployment(list(self.profiles), **site),
+            0,
+            lambda tx, wish: self.said.append((tx, wish)),
+            self.told.append,
+        )
+        self.brain = self.driver.brain
+
+    def at(self, ms, *news, cpu=None, leave=None):
+        """One batch: transactions read, (transaction, event) pairs, then perhaps a notice or a tick."""
+        self.now = ms * MS
+        self.driver.clock(self.now)
+        for item in news:
+            if isinstance(item, Transaction):
+                self.driver.arrive(item)
+            else:
+                self.driver.deliver(*item)
+        if leave is not None:
+            self.driver.leave(leave * MS)
+        if cpu is not None:
+            self.driver.tick(Gauges(cpu))
+        self.driver.settle()
+        return self
+
+    def read(self, ms, which=0, caller=0, wait=None, size=1000, **more):
+        """A transaction that reached the machine at `ms`; `wait` is how long its caller waits."""
+        kind = self.profiles[which]
+        due = ms * MS + (kind.outer if wait is None else wait * MS)
+        return Transaction(kind, caller, ms * MS, due, size, **more)
+
+    def wishes(self, tx):
+        """The names of what was wished for this transaction, the waiting left out."""
+        return [type(wish).__name__ for who, wish in self.said if who is tx and type(wish).__name__ != "Wait"]
+
+    def warm(self, took=300, until=12_000, which=0, cpu=0.5):
+        """Runs of `took` ms one after the other until `until`, so that the usual time is known."""
+        ms = 0
+        while ms + took < until:
+            tx = self.read(ms, which)
+            self.at(ms, tx, cpu=cpu).at(ms + took, (tx, HONOURED), cpu=cpu)
+            ms += took
+        return self
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,80 @@
+"""The wire: absent values, unknown keys, bad input, restarts, the safe side of conversion."""
+
+import io
+
+import pytest
+
+from birchslip.adapter import wire
+from birchslip.adapter.host import Loop, serve
+
+HELLO = "hello\t7\tclasses.count=1\tclasses.0.effect=by_key\tclasses.0.aim_s=1.0\tclasses.0.hard_limit_s=4.0"
+HELLO += "\tclasses.0.window_s=5.0\tfamily_info.cores=2\tnew.key=1"
+
+
+def play(*batches):
+    """The replies to batches of lines, and what was said on standard error."""
+    errors = io.StringIO()
+    loop = Loop(errors)
+    return [loop.batch(["sync\t1.0", "to\t3", *batch]) for batch in batches], errors.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ("call\t5\t0\t0\t-\t-\t-\t-\t-\t-\t-\t-\t-", ["remember\t5\t5.0000", "dispatch\t5"]),
+        (
+            "call\t5\t0\t0\t-\t9.5\t0.01\t3.5\t0.1\t1\t2\t0.001\t0\textra",
+            ["remember\t5\t5.0000", "dispatch\t5"],
+        ),
+        (
+            "call\t5\t0\t0\t-\t9.5\t-\t3.5\t-\t1\t2\t-\t77",
+            ["attach\t5"],
+        ),  # an original never heard of has run
+        ("hangup\t99", []),
+        ("completed\t99\tcompleted\t0.1", []),
+        ("news\twithout\tmeaning", []),
+    ],
+)
+def test_events(line, said):
+    replies, errors = play([HELLO], [line])
+    assert replies[1][1:] == said and not errors
+
+
+@pytest.mark.parametrize(
+    ("lines", "named"),
+    [
+        ([HELLO, "call\tfive\t0"], "request_id"),
+        ([HELLO, "call\t5\t4\t0"], "no such priority: 4"),
+        ([HELLO, "completed\t5\tsplendid\t0.1"], "unknown outcome: 'splendid'"),
+        ([HELLO, "completed\t5"], "completed has 1 parts"),
+        ([HELLO, "wakeup\ttick\tcore_use:much"], "gauge core_use"),
+        ([HELLO, "wind_down\tsoon"], "the end of a wind_down"),
+        (["hello\tx"], "prng"),
+        (["hello\t7\tclasses.count=1\tclasses.0.effect=maybe"], "classes.0.effect is unknown"),
+        (["wakeup\ttick\t-"], "an event for one that has not started"),
+    ],
+)
+def test_bad_input_is_one_plain_message_and_a_declared_fault(lines, named):
+    replies, errors = play(lines)
+    assert any(line.startswith("crash\t") and named in line for line in replies[0])
+    assert named in errors and errors.count("\n") == 1
+
+
+def test_a_restart_in_one_batch_forgets_the_life_before():
+    replies, errors = play(
+        [HELLO, "call\t5\t0\t0\t-\t-"], ["crash_now", HELLO, "completed\t5\tcompleted\t0.1"]
+    )
+    assert not errors and "mark_health\t1\t1" in replies[1]
+
+
+def test_the_stream_ends_with_an_acknowledged_batch():
+    sink = io.BytesIO()
+    assert serve(io.BytesIO(b"sync\t8.41225\ngo\n"), sink, io.StringIO()) == 0
+    assert sink.getvalue() == b"ack\n"
+
+
+@pytest.mark.parametrize(
+    ("seconds", "early", "late"), [(0.00015, 1, 2), (8.65225, 86522, 86523), (0.3, 3000, 3000)]
+)
+def test_conversion_errs_on_the_safe_side(seconds, early, late):
+    assert (wire.early(seconds), wire.late(seconds)) == (early, late)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,126 @@
+"""Quota, hold, running limit, calls and health."""
+
+import pytest
+
+from birchslip.interface import Below, CallEnded, Gone, Halt, Health, NeedsCall, Outcome, Tenant
+
+from .desk import HONOURED, MS, Desk, profile
+
+
+def test_held_start_by_due_time():
+    desk = Desk(profile(goal=3000), profile(goal=1000), cores=1)
+    busy, late, soon = desk.read(0), desk.read(0), desk.read(0, 1)
+    desk.at(0, busy, late, soon).at(100, (busy, HONOURED))
+    assert desk.wishes(soon) == ["Start"] and desk.wishes(late) == []
+
+
+@pytest.mark.parametrize(
+    ("ran", "cpu", "binds"),
+    [(12_000, 1.0, True), (9_000, 1.0, False), (12_000, 0.5, False)],  # window over, too early, room
+)
+def test_quota_binds_after_a_full_window_without_room_and_with_work_held(ran, cpu, binds):
+    desk = Desk(cores=1).warm(until=ran, cpu=cpu)
+    desk.at(ran, desk.read(ran), desk.read(ran)).at(ran + 150, cpu=cpu)
+    assert desk.brain.binding is binds
+
+
+@pytest.mark.parametrize(("over", "wish"), [(50, ["Shed"]), (0, [])])
+def test_a_told_quota_delays_or_sheds_its_own_tenant_only(over, wish):
+    heavy, light = Tenant(quota=2.0), Tenant(quota=2.0)
+    desk = Desk(cores=1, tenants=[heavy, light], advises=True, longest_advice=1000 * MS)
+    desk.brain.binding = True
+    desk.brain.tenants[heavy].ring.add(0, 20 + over)
+    tx, other = desk.read(0, tenant=heavy), desk.read(0, tenant=light)
+    desk.at(0, desk.read(0), tx, other)
+    assert desk.wishes(tx) == wish and desk.wishes(other) == []
+
+
+def test_what_is_shed_or_gone_is_taken_out_of_the_windows():
+    desk = Desk(cores=1)
+    running, gone = desk.read(0), desk.read(0)
+    desk.at(0, running, gone).at(10, (gone, Gone()))
+    assert desk.brain.callers[0].ring.total(desk.now) == running.size
+
+
+def test_the_heaviest_caller_pays_when_the_hold_does_not_fit():
+    desk = Desk(cores=1).warm()
+    heavy = [desk.read(12_000, caller=1) for _ in range(4)]
+    light = desk.read(12_000, caller=2)
+    desk.at(12_000, *heavy, light)
+    shed = [tx for tx in [*heavy, light] if "Shed" in desk.wishes(tx)]
+    assert shed and light not in shed
+
+
+@pytest.mark.parametrize(("held_for", "cpu", "limit"), [(400, 0.5, 2), (600, 0.5, 3), (600, 0.95, 2)])
+def test_the_limit_rises_only_when_full_for_the_whole_look_back(held_for, cpu, limit):
+    desk = Desk(profile(goal=30_000, outer=60_000))
+    desk.at(0, *[desk.read(0) for _ in range(5)], cpu=cpu)
+    for ms in range(50, held_for + 1, 50):
+        desk.at(ms, cpu=cpu)
+    assert int(desk.brain.limit) == limit
+
+
+def test_the_limit_is_cut_when_runs_slow_and_never_under_the_cores():
+    desk = Desk().warm(until=40_000)
+    desk.brain.limit = 2.1
+    for ms in range(40_000, 52_000, 1500):
+        tx = desk.read(ms, wait=4000)
+        desk.at(ms, tx).at(ms + 1400, (tx, HONOURED), cpu=1.0)
+    assert desk.brain.limit == 2.0
+
+
+def test_what_has_begun_is_bounded_beside_the_calls():
+    desk = Desk(profile(goal=20_000, outer=30_000), cores=2, below=Below.TIER, crowd_multiple=50.0).warm()
+    for ms in range(12_000, 12_500, 10):
+        tx = desk.read(ms)
+        desk.at(ms, tx).at(ms + 5, (tx, NeedsCall()))
+    assert desk.brain.begun <= 3
+
+
+@pytest.mark.parametrize(("skip", "wish"), [(0.3, "SkipCall"), (0.0, "WriteOff")])
+def test_a_call_that_cannot_fit_is_left_out_or_ends_it_at_once(skip, wish):
+    desk = Desk(profile(skip_payoff=skip), below=Below.SHARED, calls_share=1.0)
+    first, second = desk.read(0), desk.read(0)
+    desk.at(0, first, second).at(10, (first, NeedsCall())).at(
+        700, (first, CallEnded(Outcome.HONOURED)), cpu=0.5
+    )
+    busy = desk.read(700)
+    desk.at(710, busy, (first, HONOURED)).at(720, (busy, NeedsCall())).at(730, (second, NeedsCall())).at(1001)
+    assert desk.wishes(second)[-1] == wish
+
+
+@pytest.mark.parametrize(
+    ("halt", "held", "stopped"), [(Halt.DROP, 1, True), (Halt.DROP, 0, False), (Halt.OFF, 1, False)]
+)
+def test_a_run_past_its_goal_gives_way_only_to_others(halt, held, stopped):
+    desk = Desk(cores=1, halt=halt)
+    tx = desk.read(0)
+    desk.at(0, tx).at(1050, *[desk.read(1050) for _ in range(held)])
+    assert ("Stop" in desk.wishes(tx)) is stopped
+
+
+def test_health_turns_bad_when_runs_begin_and_none_ends_and_good_again():
+    desk = Desk(cores=2).warm()
+    desk.at(12_000, desk.read(12_000, wait=9000), desk.read(12_000, wait=9000))
+    for ms in range(12_050, 14_000, 50):
+        desk.at(ms, cpu=1.0)
+    assert desk.told.count(Health(False)) == 1
+    for tx in list(desk.brain.on_cores):
+        desk.at(14_000, (tx, HONOURED))
+    for ms in range(14_050, 18_000, 50):
+        desk.at(ms, cpu=0.0)
+    assert desk.brain.good
+
+
+def test_first_short_runs_do_not_make_health_bad():
+    desk = Desk(cores=2)
+    short, long = desk.read(0), desk.read(0)
+    desk.at(0, short, long).at(10, (short, HONOURED), cpu=1.0).at(1000, cpu=1.0)
+    assert desk.brain.good
+
+
+def test_an_empty_app_server_tries_whatever_the_figures_say():
+    desk = Desk().warm(took=1500, until=14_000)
+    tx = desk.read(14_000)
+    desk.at(14_000, tx)
+    assert desk.wishes(tx) == ["Start"]
