--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -133,7 +133,7 @@
         self.limit = float(deployment.cores)
         self.limit_moved = self.limit_cut = now
         self.hold: list[tuple[int, int, Transaction]] = []
-        self.queue: list[tuple[int, int, Transaction]] = []
+        self.queue: list[tuple[bool, int, int, Transaction]] = []
         self.on_cores: dict[Transaction, None] = {}
         self.in_hand = 0
         self.lingering: list[int] = []
@@ -142,7 +142,7 @@
         # what things take
         self.runs = {profile: Times() for profile in deployment.profiles}
         self.off_core = {profile: Times() for profile in deployment.profiles}
-        self.all_runs, self.all_off, self.calls = Times(), Times(), Times()
+        self.all_runs, self.calls = Times(), Times()
         self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         self.stretch, self.call_time = 1.0, 0.0
         # memory, labels, health and drain
@@ -220,9 +220,11 @@
         self.off_cores(tx)
         left_at = self.now
         tx.place = Place.CALL_QUEUE
-        insort(self.queue, (tx.by, tx.serial, tx))
+        # Calls that can't be left out go first: when what lies below is slow, the others still earn a part.
+        place = (tx.profile.skip_payoff > 0, tx.by, tx.serial, tx)
+        insort(self.queue, place)
         event: Event = yield Wait()
-        self.queue.remove((tx.by, tx.serial, tx))
+        self.queue.remove(place)
         if isinstance(event, Go):
             tx.place = Place.CALLING
             self.in_hand += 1
@@ -415,7 +417,7 @@
 
     def starts(self) -> Iterator[tuple[Transaction, Event]]:
         """Held transactions start by due time, those under a delay once it has passed or binds no more."""
-        while len(self.on_cores) < int(self.limit) and self.begun < self.open_bound():
+        while len(self.on_cores) < int(self.limit) and self.begun < CROWD_USED * self.crowd():
             tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.binding), None)
             if tx is None:
                 return
@@ -424,14 +426,6 @@
                 return
             yield tx, Go()
 
-    def open_bound(self) -> float:
-        """How many may have begun: the limit, and beside it as many as usually wait for calls meanwhile.
-
-        Without it those back from calls crowd the cores beside the newly started.
-        """
-        at_calls = self.all_off.usual / self.all_runs.usual if self.all_runs.usual else 1.0
-        return min(self.limit * (1 + at_calls) + 1, CROWD_USED * self.crowd())
-
     def crowd(self) -> float:
         """How many on the cores the app server survives; while it warms up, fewer."""
         warm = 1.0
@@ -461,7 +455,6 @@
         self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
         self.off_core[tx.profile].add(self.now, tx.off_time)
         self.all_runs.add(self.now, tx.core_time)
-        self.all_off.add(self.now, tx.off_time)
         self.done.add(self.now, ceil(typical) or tx.core_time)
         if ended.outcome is Outcome.HONOURED and not tx.answered:
             self.honoured.add(self.now, tx.size)
@@ -503,7 +496,7 @@
             heapq.heappop(self.lingering)
         allowed = self.allowed_calls()
         space = self.call_time / allowed
-        for place, (_, _, tx) in enumerate(list(self.queue)):
+        for place, (*_, tx) in enumerate(list(self.queue)):
             answer_at = self.now + place * space + self.call_time + self.rest(tx)
             no_time = tx.profile.skip_payoff and self.call_time and answer_at >= self.wanted(tx)
             if no_time or (self.now >= tx.by and not tx.profile.late_payoff):
