--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -40,6 +40,7 @@
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
+CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
 
 class Ring:
@@ -141,7 +142,7 @@
         self.begun = 0
         # what things take
         self.runs = {profile: Times() for profile in deployment.profiles}
-        self.off_core = {profile: Times() for profile in deployment.profiles}
+        self.calls_made = {profile: Times() for profile in deployment.profiles}
         self.all_runs, self.calls = Times(), Times()
         self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         self.stretch, self.call_time = 1.0, 0.0
@@ -218,7 +219,6 @@
     def call_below(self, tx: Transaction) -> Generator[Wish, Any, Event]:
         """Wait for a turn, call, and go on; where it can't fit, leave the call out or end the transaction."""
         self.off_cores(tx)
-        left_at = self.now
         tx.place = Place.CALL_QUEUE
         # Calls that can't be left out go first: when what lies below is slow, the others still earn a part.
         place = (tx.profile.skip_payoff > 0, tx.by, tx.serial, tx)
@@ -230,12 +230,12 @@
             self.in_hand += 1
             limit = self.call_limit(tx)
             tx.call_at = self.now
+            tx.calls += 1
             event = yield Call(limit)
             while isinstance(event, GiveUp | Gone):
                 event = yield from self.cut_off(tx, event)
             self.call_over(tx, event)
         if isinstance(event, CallEnded) and event.outcome is Outcome.HONOURED:
-            tx.off_time += self.now - left_at
             self.to_cores(tx)
             event = yield Wait()
             return event
@@ -335,8 +335,9 @@
         return max(0.0, self.typical(tx) * self.stretch - tx.core_time)
 
     def needs(self, tx: Transaction) -> float:
-        """The time from its start to its answer, as things go now."""
-        return self.rest(tx) + self.off_core[tx.profile].usual
+        """The time from its start to its answer, as things go now: cores, calls and the wait for a call."""
+        call = self.call_time * (1 + len(self.queue) / self.allowed_calls()) if self.call_time else 0.0
+        return self.rest(tx) + self.calls_made[tx.profile].usual * call
 
     def wanted(self, tx: Transaction) -> int:
         return tx.by if self.end is None else min(tx.by, self.end - 2 * TICK)
@@ -453,7 +454,7 @@
             self.done.add(self.now, min(tx.core_time, ceil(typical)))
             return
         self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
-        self.off_core[tx.profile].add(self.now, tx.off_time)
+        self.calls_made[tx.profile].add(self.now, tx.calls)
         self.all_runs.add(self.now, tx.core_time)
         self.done.add(self.now, ceil(typical) or tx.core_time)
         if ended.outcome is Outcome.HONOURED and not tx.answered:
@@ -485,7 +486,7 @@
         own = self.site.calls_share if self.site.below is Below.SHARED else CROWD_USED * self.crowd()
         if not self.call_time or not self.calls.base:
             return own
-        return max(min(1.0, own), own * min(1.0, self.calls.base / self.call_time))
+        return max(min(1.0, own), own * CALLS_KEPT, own * min(1.0, self.calls.base / self.call_time))
 
     def next_calls(self) -> Iterator[tuple[Transaction, Event]]:
         """Calls go out by due time at a rate that follows their recent time; abandoned ones count too.
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -113,7 +113,7 @@
     by: int = 0
     ready: int = 0
     serial: int = 0
-    off_time: int = 0
+    calls: int = 0
     remembered: bool = False
     on_since: int = 0
     core_time: int = 0
