--- a/birchslip/adapter/host.py
+++ b/birchslip/adapter/host.py
@@ -99,7 +99,6 @@
             size=0 if absent(parts[7]) else -int(-number(parts[7], "kb") * 1024 // 1),
             work=0 if absent(parts[6]) else late(number(parts[6], "work_s")),
             tenant=tenants[tenant] if tenants else None,
-            again=not absent(parts[9]) and bool(whole(parts[9], "flags") & wire.AGAIN),
             original=original,
         )
         self.ids[transaction] = number_here
--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -49,7 +49,6 @@
     "refused_conn": Outcome.UNREACHED,
     "superseded": Outcome.MOOT,
 }
-AGAIN = 2  # the flag of a marked further try
 
 
 class Malformed(ValueError):
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -128,7 +128,7 @@
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.binding = self.crowded = False
+        self.binding = self.crowded = self.read_late = False
         self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
@@ -318,6 +318,7 @@
         """By when it is wanted: its latency goal from here on; the age of a further try does not show."""
         self.serial += 1
         tx.serial = self.serial
+        self.read_late |= self.now - tx.arrived > SHORT_WAIT
         tx.by = min(tx.due, tx.arrived + tx.profile.goal)
 
     def has_room(self, tx: Transaction) -> bool:
@@ -374,8 +375,11 @@
         """The refusal says when to come back; in overload it also asks not to try elsewhere."""
         if not self.site.advises:
             return Shed()
-        after = ceil(max(delay, self.wait_for_core(), TICK) * (0.75 + self.draw() / 2))
-        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
+        wait = max(delay, self.wait_for_core(), TICK) if self.good else self.site.longest_advice
+        after = ceil(wait * (0.75 + self.draw() / 2))
+        return Shed(
+            min(after, self.site.longest_advice), tx.again or (self.crowded and self.stretch < SLOWED)
+        )
 
     def draw(self) -> float:
         """A linear congruential generator; its high bits spread the moments at which callers come back."""
@@ -551,7 +555,9 @@
         self.call_time = sum(recent) / len(recent) if recent else self.calls.usual
         full = len(self.on_cores) >= int(self.limit)
         busy = full if gauges.cores_used is None else gauges.cores_used >= BUSY
-        self.crowded = busy and any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold)
+        # What waited unread has waited as well; by the time it is read it may be too late to be held.
+        self.crowded = busy and (self.read_late or any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold))
+        self.read_late = False
         binding = self.crowded and now - self.started >= WINDOWS * WINDOW
         if binding and now - self.logged >= WINDOWS * WINDOW:
             self.logged = now
@@ -593,7 +599,7 @@
         if not self.site.takes_credit:
             return
         value = CROWD_USED * self.crowd()
-        if self.leaving is not None:
+        if not self.good:
             value = 0.0
         elif self.crowded:
             value = max(1.0, 2 * self.limit / self.heard())
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -106,7 +106,6 @@
     size: int
     work: int = 0
     tenant: Tenant | None = None
-    again: bool = False
     original: Transaction | None = None
 
     place: Place = Place.ENDED
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from birchslip.interface import Below, CallEnded, Gone, Halt, Health, NeedsCall, Outcome, Tenant
+from birchslip.interface import Below, CallEnded, Free, Gone, Halt, Health, NeedsCall, Outcome, Tenant
 
 from .desk import HONOURED, MS, Desk, profile
 
@@ -132,3 +132,19 @@
     tx = desk.read(14_000)
     desk.at(14_000, tx)
     assert desk.wishes(tx) == ["Start"]
+
+
+def test_a_stuck_app_server_offers_nothing_and_asks_to_be_left_for_longest():
+    desk = Desk(takes_credit=True, advises=True, longest_advice=900 * MS).warm()
+    desk.at(12_000, desk.read(12_000, wait=9000), desk.read(12_000, wait=9000))
+    for ms in range(12_050, 14_000, 50):
+        desk.at(ms, cpu=1.0)
+    desk.at(14_000, desk.read(14_000))
+    assert [told.value for told in desk.told if isinstance(told, Free)][-1] == 0
+    assert desk.said[-1][1].after > 600 * MS
+
+
+def test_what_waited_unread_has_waited():
+    desk = Desk(cores=1)
+    desk.at(0, desk.read(0)).at(900, desk.read(0), cpu=1.0)
+    assert desk.brain.crowded
