--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -377,9 +377,7 @@
             return Shed()
         wait = max(delay, self.wait_for_core(), TICK) if self.good else self.site.longest_advice
         after = ceil(wait * (0.75 + self.draw() / 2))
-        return Shed(
-            min(after, self.site.longest_advice), tx.again or (self.crowded and self.stretch < SLOWED)
-        )
+        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
 
     def draw(self) -> float:
         """A linear congruential generator; its high bits spread the moments at which callers come back."""
