--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -264,25 +264,22 @@
 
     # ---- quota: the source's windows and delay -------------------------------------------------------------
 
+    def meter(self, tx: Transaction) -> Meter:
+        """Its tenant's, where a quota is told, or else its caller's."""
+        if tx.tenant is not None and tx.tenant.quota > 0:
+            return self.tenants[tx.tenant]
+        return self.callers.setdefault(tx.caller, Meter())
+
     def count(self, tx: Transaction) -> int:
-        """Count it in its caller's and tenant's windows; the delay that they ask for."""
-        meter = self.callers.setdefault(tx.caller, Meter())
-        meter.ring.add(self.now, tx.size)
-        delays = [0]
-        if self.binding:
-            delays.append(meter.delay(self.now, self.derived_quota()))
-        if tx.tenant is not None:
-            meter = self.tenants[tx.tenant]
-            meter.ring.add(self.now, 1)
-            if self.binding:
-                delays.append(meter.delay(self.now, meter.told))
-        return max(delays)
+        """Count it in the windows; the delay that they ask for while the quota binds."""
+        meter = self.meter(tx)
+        meter.ring.add(self.now, 1 if meter.told else tx.size)
+        return meter.delay(self.now, meter.told or self.derived_quota()) if self.binding else 0
 
     def uncount(self, tx: Transaction) -> None:
         """What never ran is taken out again, or a caller that goes on asking would be shut out whole."""
-        self.callers[tx.caller].ring.add(self.now, -tx.size)
-        if tx.tenant is not None:
-            self.tenants[tx.tenant].ring.add(self.now, -1)
+        meter = self.meter(tx)
+        meter.ring.add(self.now, -1 if meter.told else -tx.size)
 
     def heard(self) -> int:
         return max(1, sum(1 for meter in self.callers.values() if meter.ring.total(self.now) > 0))
@@ -306,11 +303,8 @@
 
     def heaviness(self, tx: Transaction) -> float:
         """How far its caller or tenant has come against its quota."""
-        own = self.callers[tx.caller].ring.total(self.now) / max(1.0, self.derived_quota())
-        if tx.tenant is not None and self.tenants[tx.tenant].told > 0:
-            meter = self.tenants[tx.tenant]
-            return max(own, meter.ring.total(self.now) / meter.told)
-        return own
+        meter = self.meter(tx)
+        return meter.ring.total(self.now) / (meter.told or max(1.0, self.derived_quota()))
 
     # ---- the hold ------------------------------------------------------------------------------------------
 
@@ -596,11 +590,7 @@
         """How many a caller may have outstanding here: what the server survives, or what it can serve."""
         if not self.site.takes_credit:
             return
-        value = CROWD_USED * self.crowd()
-        if not self.good:
-            value = 0.0
-        elif self.crowded:
-            value = max(1.0, 2 * self.limit / self.heard())
+        value = CROWD_USED * self.crowd() if self.good else 0.0
         if value != self.free:
             self.free = value
             self.notices.append(Free(value))
