No told quota under an even share of what the running limit serves

Cause: a light tenant's quota split over the fleet is about one transaction a second a server; by chance alone it was past its bound a quarter of the time and was shed for it.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -274,7 +274,10 @@
         """Count it in the windows; the delay that they ask for while the quota binds."""
         meter = self.meter(tx)
         meter.ring.add(self.now, 1 if meter.told else tx.size)
-        return meter.delay(self.now, meter.told or self.derived_quota()) if self.binding else 0
+        quota = (
+            max(meter.told, self.could_serve() / self.tenants_heard()) if meter.told else self.derived_quota()
+        )
+        return meter.delay(self.now, quota) if self.binding else 0
 
     def uncount(self, tx: Transaction) -> None:
         """What never ran is taken out again, or a caller that goes on asking would be shut out whole."""
@@ -292,14 +295,15 @@
         span = WINDOWS * WINDOW / SECOND
         honoured = self.honoured.total(self.now) / span
         heard = self.heard()
-        return max(QUOTA_SHARES * honoured / heard, self.could_serve() / heard)
+        mean_size = self.honoured.total(self.now) / max(1, self.honoured_number.total(self.now))
+        return max(QUOTA_SHARES * honoured / heard, self.could_serve() * mean_size / heard)
 
     def could_serve(self) -> float:
-        """Bytes a second that the running limit could serve, at the usual run time and mean size."""
-        number = self.honoured_number.total(self.now)
-        if not number or not self.all_runs.usual:
-            return 0.0
-        return self.limit * SECOND / self.all_runs.usual * self.honoured.total(self.now) / number
+        """Transactions a second that the running limit could serve, at the usual run time."""
+        return self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
+
+    def tenants_heard(self) -> int:
+        return max(1, sum(1 for meter in self.tenants.values() if meter.ring.total(self.now) > 0))
 
     def heaviness(self, tx: Transaction) -> float:
         """How far its caller or tenant has come against its quota."""
