--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -27,7 +27,7 @@
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
 QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
 BUSY = 0.9  # the core gauge shows no room from here on
-SHORT_WAIT = 1000  # work held for longer than 100 ms counts as waiting
+SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
 LIMIT_TICK = (
     SECOND // 2
 )  # the core gauge looks back half a second: the limit moves no faster than it can show
