Keep the pace over core time, so that a slow spell is not forgotten while little runs

Cause: on a slow server the pace of the last two seconds fell back to the usual as soon as little ran, a few were started, and came late. Also holds against a hang that ends slowly; could hurt where a server mends while nearly nothing is sent to it.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -37,7 +37,7 @@
     2.0,
 )  # the running limit's step, its cut, and how far past its base a median may be
 LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
-PACE_SLICE = 2000  # recent pace: ten slices of 200 ms
+PACE_SLICE = 2000  # recent pace: ten slices of 200 ms on every core
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
@@ -144,7 +144,9 @@
         self.runs = {profile: Times() for profile in deployment.profiles}
         self.calls_made = {profile: Times() for profile in deployment.profiles}
         self.all_runs, self.calls = Times(), Times()
-        self.spent, self.done = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
+        pace_slice = PACE_SLICE * deployment.cores
+        self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
+        self.core_clock = 0
         self.stretch, self.call_time = 1.0, 0.0
         # memory, labels, health and drain
         self.memory = 0
@@ -451,12 +453,12 @@
         """Run times without the calls; a stopped run counts as far as it got."""
         typical = self.typical(tx)
         if ended.outcome not in (Outcome.HONOURED, Outcome.ERRED):
-            self.done.add(self.now, min(tx.core_time, ceil(typical)))
+            self.done.add(self.core_clock, min(tx.core_time, ceil(typical)))
             return
         self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
         self.calls_made[tx.profile].add(self.now, tx.calls)
         self.all_runs.add(self.now, tx.core_time)
-        self.done.add(self.now, ceil(typical) or tx.core_time)
+        self.done.add(self.core_clock, ceil(typical) or tx.core_time)
         if ended.outcome is Outcome.HONOURED and not tx.answered:
             self.honoured.add(self.now, tx.size)
             self.honoured_number.add(self.now, 1)
@@ -536,7 +538,10 @@
     # ---- time, health and drain ----------------------------------------------------------------------------
 
     def clock(self, now: int) -> None:
-        self.spent.add(now, len(self.on_cores) * (now - self.now))
+        # Pace is kept over core time: what a slow spell taught is not forgotten while little runs.
+        spent = len(self.on_cores) * (now - self.now)
+        self.core_clock += spent + now - self.now
+        self.spent.add(self.core_clock, spent)
         self.now = now
 
     def tick(self, gauges: Gauges) -> None:
@@ -546,7 +551,9 @@
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
             prior = ceil(2 * self.all_runs.usual)
-            self.stretch = (self.spent.total(now) + prior) / (self.done.total(now) + prior)
+            self.stretch = (self.spent.total(self.core_clock) + prior) / (
+                self.done.total(self.core_clock) + prior
+            )
         recent = self.calls.recent(now)
         self.call_time = sum(recent) / len(recent) if recent else self.calls.usual
         full = len(self.on_cores) >= int(self.limit)
