--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -39,6 +39,7 @@
 LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms on every core
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
+STEADY = 1.3  # pace, against the usual, up to which runs are taken to go as usual
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
@@ -343,9 +344,18 @@
     def wanted(self, tx: Transaction) -> int:
         return tx.by if self.end is None else min(tx.by, self.end - 2 * TICK)
 
+    def least(self, tx: Transaction, before: int) -> float:
+        """What it takes with so many before it: nothing is known too well to try it where a core is free.
+
+        On empty cores whatever the figures say, for nothing else would mend them; beside others at its base
+        time, unless runs are slowed.
+        """
+        if before < int(self.limit) and (not before or self.stretch < STEADY):
+            return self.runs[tx.profile].base * max(1, tx.work) if before else 0.0
+        return self.needs(tx)
+
     def fits(self, tx: Transaction, delay: float) -> bool:
-        """One that finds the cores empty is tried whatever the figures say: nothing else would mend them."""
-        needed = 0.0 if not self.on_cores and not delay else self.needs(tx)
+        needed = self.needs(tx) if delay else self.least(tx, len(self.on_cores) + len(self.hold))
         return self.now + delay + needed < self.wanted(tx)
 
     def enter_hold(self, tx: Transaction, delay: int) -> None:
@@ -399,22 +409,20 @@
         kept: list[Transaction] = []
         lost: list[Transaction] = []
         for _, _, tx in self.hold:
-            first = not kept and not self.on_cores
-            if self.now + (0.0 if first else self.needs(tx)) >= self.wanted(tx):
+            least = self.least(tx, len(self.on_cores) + len(kept))
+            if self.now + least >= self.wanted(tx):
                 lost.append(tx)
                 continue
             kept.append(tx)
-            ahead += self.rest(tx) / self.limit
-            while (
-                self.now + ahead - self.rest(tx) / self.limit + self.needs(tx) >= self.wanted(tx)
-                and not first
-            ):
+            while self.now + ahead + least >= self.wanted(tx):
                 heavy = max(reversed(kept), key=self.heaviness)
                 kept.remove(heavy)
                 lost.append(heavy)
-                ahead -= self.rest(heavy) / self.limit
                 if heavy is tx:
                     break
+                ahead -= self.rest(heavy) / self.limit
+            else:
+                ahead += self.rest(tx) / self.limit
         for tx in lost:
             yield tx, GiveUp(ceil(ahead))
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -148,3 +148,14 @@
     desk = Desk(cores=1)
     desk.at(0, desk.read(0)).at(900, desk.read(0), cpu=1.0)
     assert desk.brain.crowded
+
+
+@pytest.mark.parametrize(("stretch", "wish"), [(1.0, "Start"), (1.5, "Shed")])
+def test_a_free_core_tries_at_base_time_while_the_pace_is_usual(stretch, wish):
+    desk = Desk(cores=2).warm(until=9000)
+    desk.brain.runs[desk.profiles[0]].base = 200 * MS
+    desk.brain.runs[desk.profiles[0]].usual = 1200 * MS
+    desk.brain.stretch = stretch
+    tx = desk.read(9000)
+    desk.at(9000, desk.read(9000, wait=9000), tx)
+    assert desk.wishes(tx)[-1] == wish
