--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -172,7 +172,8 @@
         delay = self.count(tx)
         if not self.fits(tx, delay):
             self.uncount(tx)
-            yield self.shed(delay)
+            # The advice keeps away all that its caller carries: a tenant's delay is not its caller's.
+            yield self.shed(0 if self.meter(tx).told else delay)
             return
         self.enter_hold(tx, delay)
         if tx.profile.kind is Kind.LABELLED:
@@ -424,7 +425,7 @@
             else:
                 ahead += self.rest(tx) / self.limit
         for tx in lost:
-            yield tx, GiveUp(ceil(ahead))
+            yield tx, GiveUp()
 
     def starts(self) -> Iterator[tuple[Transaction, Event]]:
         """Held transactions start by due time, those under a delay once it has passed or binds no more."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -159,3 +159,15 @@
     tx = desk.read(9000)
     desk.at(9000, desk.read(9000, wait=9000), tx)
     assert desk.wishes(tx)[-1] == wish
+
+
+@pytest.mark.parametrize(("quota", "longer"), [(2.0, False), (0.0, True)])
+def test_only_a_caller_past_its_own_quota_is_asked_to_wait_for_the_delay(quota, longer):
+    tenant = Tenant(quota)
+    desk = Desk(cores=1, tenants=[tenant], advises=True, longest_advice=1000 * MS).warm(until=9000)
+    desk.brain.binding = True
+    for ms in range(9000, 9500):
+        desk.brain.meter(desk.read(ms, tenant=tenant)).ring.add(ms * MS, 10_000)
+    tx = desk.read(9500, tenant=tenant)
+    desk.at(9500, tx)
+    assert desk.wishes(tx) == ["Shed"] and (desk.said[-1][1].after > 500 * MS) is longer
