One quota for callers and tenants; extreme settings tested

A count is taken back from the slice it was made in, callers that have fallen silent are let go, and a calls share of 0 no longer divides by it (found by a table of extreme settings).

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -66,6 +66,13 @@
         self.cells[self.slot % len(self.cells)] += amount
         self.sum += amount
 
+    def take(self, now: int, then: int, amount: int) -> None:
+        """Take back what was added at `then`, if that has not run out by itself."""
+        self.total(now)
+        if then // self.span > self.slot - len(self.cells):
+            self.cells[then // self.span % len(self.cells)] -= amount
+            self.sum -= amount
+
 
 class Times:
     """What runs or calls took, in one-second buckets used again in a ring; expected and low values of it."""
@@ -188,7 +195,7 @@
                 self.forget(tx)
                 yield Forget()
             if isinstance(event, GiveUp):
-                yield self.shed(event.after)
+                yield self.shed(0)
             return
         tx.has_run = True
         self.begun += 1
@@ -276,43 +283,34 @@
 
     def count(self, tx: Transaction) -> int:
         """Count it in the windows; the delay that they ask for while the quota binds."""
-        meter = self.meter(tx)
+        meter, tx.counted_at = self.meter(tx), self.now
         meter.ring.add(self.now, 1 if meter.told else tx.size)
-        quota = (
-            max(meter.told, self.could_serve() / self.tenants_heard()) if meter.told else self.derived_quota()
-        )
-        return meter.delay(self.now, quota) if self.binding else 0
+        return meter.delay(self.now, self.quota(meter)) if self.binding else 0
 
     def uncount(self, tx: Transaction) -> None:
         """What never ran is taken out again, or a caller that goes on asking would be shut out whole."""
         meter = self.meter(tx)
-        meter.ring.add(self.now, -1 if meter.told else -tx.size)
+        meter.ring.take(self.now, tx.counted_at, 1 if meter.told else tx.size)
 
-    def heard(self) -> int:
-        return max(1, sum(1 for meter in self.callers.values() if meter.ring.total(self.now) > 0))
+    def quota(self, meter: Meter) -> float:
+        """A second's quota: the tenant's as told, or twice the caller's even share of the bytes honoured.
 
-    def derived_quota(self) -> float:
-        """Bytes a second: twice the even share of those honoured, at least that of what the limit serves.
-
-        None, that is 0, where nothing has been honoured: the cores are stuck, and no caller is to blame.
+        Never under an even share of what the running limit could serve: by chance alone a light one passes
+        less. None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
+        peers = self.tenants.values() if meter.told else self.callers.values()
+        heard = max(1, sum(1 for peer in peers if peer.ring.total(self.now) > 0))
+        could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
+        if meter.told:
+            return max(meter.told, could_serve / heard)
+        honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
         span = WINDOWS * WINDOW / SECOND
-        honoured = self.honoured.total(self.now) / span
-        heard = self.heard()
-        mean_size = self.honoured.total(self.now) / max(1, self.honoured_number.total(self.now))
-        return max(QUOTA_SHARES * honoured / heard, self.could_serve() * mean_size / heard)
-
-    def could_serve(self) -> float:
-        """Transactions a second that the running limit could serve, at the usual run time."""
-        return self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
-
-    def tenants_heard(self) -> int:
-        return max(1, sum(1 for meter in self.tenants.values() if meter.ring.total(self.now) > 0))
+        return max(QUOTA_SHARES * honoured / span, could_serve * honoured / number) / heard
 
     def heaviness(self, tx: Transaction) -> float:
         """How far its caller or tenant has come against its quota."""
         meter = self.meter(tx)
-        return meter.ring.total(self.now) / (meter.told or max(1.0, self.derived_quota()))
+        return meter.ring.total(self.now) / (meter.told or max(1.0, self.quota(meter)))
 
     # ---- the hold ------------------------------------------------------------------------------------------
 
@@ -494,13 +492,14 @@
 
     def allowed_calls(self) -> float:
         """How many calls may be in hand: the share told, less as they take longer than their base."""
-        own = self.site.calls_share if self.site.below is Below.SHARED else CROWD_USED * self.crowd()
+        shared = self.site.below is Below.SHARED
+        own = max(0.01, self.site.calls_share) if shared else CROWD_USED * self.crowd()
         if not self.call_time or not self.calls.base:
             return own
         return max(min(1.0, own), own * CALLS_KEPT, own * min(1.0, self.calls.base / self.call_time))
 
     def next_calls(self) -> Iterator[tuple[Transaction, Event]]:
-        """Calls go out by due time at a rate that follows their recent time; abandoned ones count too.
+        """Calls go out in turn at a rate that follows their recent time; abandoned ones count too.
 
         A call that can't fit is left out where a part of the payoff is still earned.
         """
@@ -556,6 +555,7 @@
     def tick(self, gauges: Gauges) -> None:
         now = self.now
         self.notices.append(Tick(now + TICK))
+        self.callers = {caller: meter for caller, meter in self.callers.items() if meter.ring.total(now)}
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -112,6 +112,7 @@
     by: int = 0
     ready: int = 0
     serial: int = 0
+    counted_at: int = 0
     calls: int = 0
     remembered: bool = False
     on_since: int = 0
@@ -171,9 +172,7 @@
 
 @dataclass(slots=True)
 class GiveUp:
-    """It is no longer worth waiting for; `after` is the advice that goes with a shed."""
-
-    after: int = 0
+    """It is no longer worth waiting for."""
 
 
 Event = Ended | NeedsCall | CallEnded | Gone | Go | GiveUp
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,3 +187,26 @@
     desk.at(12_000, *queue)
     shed = [wish for _, wish in desk.said if isinstance(wish, Shed)]
     assert shed and all(0 < wish.after <= 300 * MS for wish in shed)
+
+
+@pytest.mark.parametrize(
+    "site",
+    [
+        {"cores": 1, "crowd_multiple": 1.0},
+        {"below": Below.SHARED, "calls_share": 0.0},
+        {"below": Below.SHARED, "calls_share": 0.05, "linger": 500 * MS},
+        {"memory": 1},
+        {"cold": True, "cold_from": 0.0, "cold_span": 0, "crowd_multiple": 1.0},
+        {"fleet": 1000, "halt": Halt.DROP, "takes_credit": True},
+    ],
+)
+def test_extreme_settings_answer_everything_once(site):
+    desk = Desk(profile(), LABELLED, profile(Kind.IRREVERSIBLE), **site)
+    txs = [desk.read(ms, ms % 3, caller=ms % 7) for ms in range(0, 500, 10)]
+    for tx in txs:
+        desk.at(tx.arrived // MS, tx, cpu=1.0)
+        desk.at(tx.arrived // MS + 5, *[(one, NeedsCall()) for one in list(desk.brain.on_cores)])
+    for ms in range(500, 5000, 50):
+        desk.at(ms, cpu=1.0)
+    answers = [tx for tx, wish in desk.said if type(wish).__name__ in ("Shed", "WriteOff")]
+    assert sorted(map(id, answers)) == sorted(map(id, txs))
