--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from birchslip.brain import CALLS_KEPT
 from birchslip.interface import Below, CallEnded, Free, Gone, Halt, Health, NeedsCall, Outcome, Tenant
 
 from .desk import HONOURED, MS, Desk, profile
@@ -171,3 +172,49 @@
     tx = desk.read(9500, tenant=tenant)
     desk.at(9500, tx)
     assert desk.wishes(tx) == ["Shed"] and (desk.said[-1][1].after > 500 * MS) is longer
+
+
+@pytest.mark.parametrize(
+    ("share", "took", "early", "due"),
+    [
+        (0.5, 1000, 1900, 2000),
+        (3.0, 300, 1030, 1060),
+    ],  # a gap after the one call; the rate that follows 300 ms
+)
+def test_calls_are_paced_by_their_recent_time(share, took, early, due):
+    desk = Desk(profile(goal=9000, outer=9000), cores=4, below=Below.SHARED, calls_share=share)
+    first, second, third = (desk.read(0, wait=9000) for _ in range(3))
+    desk.at(0, first, second, third).at(0, (first, NeedsCall()))
+    desk.at(took, (first, CallEnded(Outcome.HONOURED)), cpu=0.1)
+    if share > 1:
+        desk.at(1000, (second, NeedsCall()))
+    desk.at(max(took, 1000), (third, NeedsCall())).at(early)
+    assert desk.wishes(third) == ["Start"]
+    assert desk.at(due).wishes(third) == ["Start", "Call"]
+
+
+@pytest.mark.parametrize(
+    ("call_time", "allowed"),
+    [(100, 9.0), (200, 4.5), (9000, 9.0 * CALLS_KEPT)],
+    ids=["base", "slow", "floor"],
+)
+def test_fewer_calls_in_hand_as_they_slow_but_never_none(call_time, allowed):
+    desk = Desk(below=Below.SHARED, calls_share=9.0)
+    desk.brain.calls.base, desk.brain.call_time = 100.0, float(call_time)
+    assert desk.brain.allowed_calls() == pytest.approx(allowed)
+
+
+def test_a_refused_call_counts_as_a_slow_one():
+    desk = Desk(below=Below.SHARED)
+    desk.brain.call_time = 100.0 * MS
+    tx = desk.read(0)
+    desk.at(0, tx).at(1, (tx, NeedsCall())).at(2, (tx, CallEnded(Outcome.SATURATED, MS)))
+    assert desk.brain.calls.usual >= 200 * MS
+
+
+def test_a_light_tenant_is_not_held_to_less_than_an_even_share():
+    light = Tenant(quota=0.1)
+    desk = Desk(cores=1, tenants=[light]).warm(until=9000)
+    desk.brain.binding = True
+    desk.brain.tenants[light].ring.add(9000 * MS, 9)
+    assert desk.brain.count(desk.read(9000, tenant=light)) == 0
