--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -28,14 +28,9 @@
 QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
 BUSY = 0.9  # the core gauge shows no room from here on
 SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
-LIMIT_TICK = (
-    SECOND // 2
-)  # the core gauge looks back half a second: the limit moves no faster than it can show
-RISE, CUT, SLOWED = (
-    0.25,
-    0.9,
-    2.0,
-)  # the running limit's step, its cut, and how far past its base a median may be
+LIMIT_TICK = SECOND // 2  # the core gauge looks back half a second: the limit rises no faster than it shows
+RISE, CUT = 0.25, 0.9  # the running limit's step and its cut
+SLOWED = 2.0  # how far past its base a median run, and past the usual the pace, may be
 LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms on every core
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
@@ -128,7 +123,7 @@
 
     def __init__(self, deployment: Deployment, now: int) -> None:
         self.site = deployment
-        self.now = self.started = self.since = now
+        self.now = self.started = now
         self.notices: list[Notice] = [Health(True), Tick(now + TICK)]
         self.chance = deployment.seed
         self.serial = 0
@@ -174,7 +169,7 @@
             yield from self.repeat(tx)
             return
         if not self.has_room(tx):
-            yield self.shed(0)
+            yield self.shed()
             return
         delay = self.count(tx)
         if not self.fits(tx, delay):
@@ -195,7 +190,7 @@
                 self.forget(tx)
                 yield Forget()
             if isinstance(event, GiveUp):
-                yield self.shed(0)
+                yield self.shed()
             return
         tx.has_run = True
         self.begun += 1
@@ -344,10 +339,10 @@
         return tx.by if self.end is None else min(tx.by, self.end - 2 * TICK)
 
     def least(self, tx: Transaction, before: int) -> float:
-        """What it takes with so many before it: nothing is known too well to try it where a core is free.
+        """The time it is tried at with so many before it.
 
-        On empty cores whatever the figures say, for nothing else would mend them; beside others at its base
-        time, unless runs are slowed.
+        On empty cores none, whatever the figures say, for nothing else would mend them; where a core is free
+        its base time, while the pace is usual; else what it needs.
         """
         if before < int(self.limit) and (not before or self.stretch < STEADY):
             return self.runs[tx.profile].base * max(1, tx.work) if before else 0.0
@@ -380,7 +375,7 @@
     def watch_over(self, tx: Transaction) -> None:
         heapq.heappush(self.watch, (tx.due - TICK, tx.serial, tx))
 
-    def shed(self, delay: float) -> Shed:
+    def shed(self, delay: float = 0) -> Shed:
         """The refusal says when to come back; in overload it also asks not to try elsewhere."""
         if not self.site.advises:
             return Shed()
@@ -570,11 +565,10 @@
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
         self.crowded = busy and (self.read_late or any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold))
         self.read_late = False
-        binding = self.crowded and now - self.started >= WINDOWS * WINDOW
-        if binding and now - self.logged >= WINDOWS * WINDOW:
+        self.binding = self.crowded and now - self.started >= WINDOWS * WINDOW
+        if self.binding and now - self.logged >= WINDOWS * WINDOW:
             self.logged = now
             self.log(f"quota binds: {len(self.hold)} held, {len(self.on_cores)} on the cores")
-        self.binding = binding
         self.move_limit(busy)
         self.judge_health()
         self.say_free()
@@ -607,7 +601,7 @@
             self.log(f"health {'good' if good else 'bad'}: runs take {self.stretch:.1f} times the usual")
 
     def say_free(self) -> None:
-        """How many a caller may have outstanding here: what the server survives, or what it can serve."""
+        """How many a caller may have outstanding here: what is survived, or 0 while stuck or leaving."""
         if not self.site.takes_credit:
             return
         value = CROWD_USED * self.crowd() if self.good else 0.0
