--- a/birchslip/adapter/host.py
+++ b/birchslip/adapter/host.py
@@ -5,7 +5,7 @@
 import traceback
 from collections.abc import Iterable
 from typing import IO, TextIO
-from weakref import WeakValueDictionary
+from weakref import WeakKeyDictionary, WeakValueDictionary
 
 from ..driver import Driver
 from ..interface import CallEnded, Ended, Event, Gone, NeedsCall, Notice, Profile, Transaction, Wish
@@ -21,7 +21,7 @@
             raise Malformed("a start without a seed")
         self.lines: list[str] = []
         self.deployment = wire.deployment(whole(parts[1], "prng"), parts[2:])
-        self.ids: dict[Transaction, int] = {}
+        self.ids: WeakKeyDictionary[Transaction, int] = WeakKeyDictionary()
         self.known: WeakValueDictionary[int, Transaction] = WeakValueDictionary()
         self.driver = Driver(self.deployment, now, self.carry, self.tell)
 
@@ -68,11 +68,6 @@
         transaction = self.known.get(whole(self.part(parts, 1), "request_id"))
         if transaction is not None:
             self.driver.deliver(transaction, event)
-            self.let_go(transaction)
-
-    def let_go(self, transaction: Transaction) -> None:
-        if transaction.path is None:
-            self.ids.pop(transaction, None)
 
     def read(self, parts: list[str], now: int) -> None:
         parts = parts + ["-"] * (13 - len(parts))
@@ -104,7 +99,6 @@
         self.ids[transaction] = number_here
         self.known[number_here] = transaction
         self.driver.arrive(transaction)
-        self.let_go(transaction)
 
     def profile(self, text: str) -> Profile:
         place = whole(text, "priority")
@@ -114,8 +108,6 @@
 
     def settle(self) -> list[str]:
         self.driver.settle()
-        if len(self.ids) > 1000 or self.lines:
-            self.ids = {t: n for t, n in self.ids.items() if t.path is not None}
         lines, self.lines = self.lines, []
         return lines
 
--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -19,6 +19,7 @@
     Gauges,
     Halt,
     Health,
+    Idle,
     Kind,
     Log,
     Notice,
@@ -170,12 +171,10 @@
 
 
 def gauges(text: str) -> Gauges:
-    seen: dict[str, float] = {}
-    if not absent(text):
-        for pair in text.split(","):
-            name, _, value = pair.partition(":")
-            seen[name] = number(value, f"gauge {name[:40]}")
-    return Gauges(cores_used=seen.get("core_use"))
+    if absent(text):
+        return Gauges()
+    seen = dict(pair.partition(":")[::2] for pair in text.split(","))
+    return Gauges(number(seen["core_use"], "gauge core_use") if "core_use" in seen else None)
 
 
 def outcome(text: str) -> Outcome:
@@ -216,5 +215,7 @@
             return f"mark_health\t{int(good)}\t{int(stored)}"
         case Free(value):
             return f"advertise\t{value:.4f}"
+        case Idle(span):
+            return f"idle_limit\t{seconds(span)}"
         case Log(text):
             return f"record\t{text}"
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from bisect import insort
+from bisect import bisect_left, insort
 from collections.abc import Generator, Iterator
 from math import ceil
 from typing import Any
@@ -17,7 +17,7 @@
 # isort: off
 from .interface import (
     NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Free, Gauges,
-    GiveUp, Go, Gone, Halt, Health, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
+    GiveUp, Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
     SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
 # isort: on
@@ -50,10 +50,12 @@
 
     def total(self, now: int) -> int:
         slot, count = now // self.span, len(self.cells)
+        if slot <= self.slot:
+            return self.sum
         for passed in range(max(self.slot + 1, slot - count + 1), slot + 1):
             self.sum -= self.cells[passed % count]
             self.cells[passed % count] = 0
-        self.slot = max(slot, self.slot)
+        self.slot = slot
         return self.sum
 
     def add(self, now: int, amount: int) -> None:
@@ -70,37 +72,35 @@
 
 
 class Times:
-    """What runs or calls took, in one-second buckets used again in a ring; expected and low values of it."""
+    """What runs or calls took, in one-second buckets used again in a ring; its mean and a low value."""
 
     def __init__(self) -> None:
         self.cells: list[list[float]] = [[] for _ in range(MEMORY_SLICES)]
         self.slot = 0
-        self.usual = self.base = 0.0
+        self.ordered: list[float] = []
+        self.sum = self.usual = self.base = 0.0
         self.number = 0
 
     def add(self, now: int, value: float) -> None:
-        self.refresh(now)
-        self.cells[self.slot % MEMORY_SLICES].append(value)
-        self.number += 1
-        if not self.usual:
-            self.usual = self.base = value
-
-    def refresh(self, now: int) -> None:
-        """Once a second: the usual is the mean and the base a low percentile, both of the whole ring."""
         slot = now // SECOND
-        if slot <= self.slot:
-            return
-        known = sorted(value for cell in self.cells for value in cell)
-        if known:
-            self.usual, self.base = sum(known) / len(known), known[int(len(known) * LOW)]
         for passed in range(max(self.slot + 1, slot - MEMORY_SLICES + 1), slot + 1):
-            self.cells[passed % MEMORY_SLICES] = []
+            cell = self.cells[passed % MEMORY_SLICES]
+            for old in cell:
+                del self.ordered[bisect_left(self.ordered, old)]
+                self.sum -= old
+            cell.clear()
         self.slot = slot
+        self.cells[slot % MEMORY_SLICES].append(value)
+        insort(self.ordered, value)
+        self.sum += value
+        self.number += 1
+        self.usual = self.sum / len(self.ordered)
+        self.base = self.ordered[int(len(self.ordered) * LOW)]
 
     def recent(self, now: int) -> list[float]:
         """The last window's values in order."""
-        self.refresh(now)
-        return sorted(v for k in range(WINDOWS) for v in self.cells[(self.slot - k) % MEMORY_SLICES])
+        slots = range(max(now // SECOND - WINDOWS, self.slot - MEMORY_SLICES) + 1, self.slot + 1)
+        return sorted(value for slot in slots for value in self.cells[slot % MEMORY_SLICES])
 
 
 class Meter:
@@ -109,6 +109,7 @@
     def __init__(self, told: float = 0.0) -> None:
         self.ring = Ring(WINDOWS, WINDOW)
         self.told = told
+        self.heard = 0
 
     def delay(self, now: int, quota: float) -> int:
         """delay = (window total - bound) / quota per second."""
@@ -124,14 +125,14 @@
     def __init__(self, deployment: Deployment, now: int) -> None:
         self.site = deployment
         self.now = self.started = now
-        self.notices: list[Notice] = [Health(True), Tick(now + TICK)]
+        self.notices: list[Notice] = [Health(True), Idle(2 * SECOND), Tick(now + TICK)]
         self.chance = deployment.seed
         self.serial = 0
         # the source's windows
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.binding = self.crowded = self.read_late = False
+        self.binding = self.crowded = self.read_late = self.look = False
         self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
@@ -147,10 +148,11 @@
         self.runs = {profile: Times() for profile in deployment.profiles}
         self.calls_made = {profile: Times() for profile in deployment.profiles}
         self.all_runs, self.calls = Times(), Times()
+        self.calls_took, self.calls_ended = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
         self.core_clock = 0
-        self.stretch, self.call_time = 1.0, 0.0
+        self.stretch, self.call_time, self.allowed = 1.0, 0.0, 1.0
         # memory, labels, health and drain
         self.memory = 0
         self.labels: list[tuple[int, int, Transaction]] = []
@@ -175,7 +177,7 @@
         if not self.fits(tx, delay):
             self.uncount(tx)
             # The advice keeps away all that its caller carries: a tenant's delay is not its caller's.
-            yield self.shed(0 if self.meter(tx).told else delay)
+            yield self.shed(0 if tx.meter.told else delay)
             return
         self.enter_hold(tx, delay)
         if tx.profile.kind is Kind.LABELLED:
@@ -274,18 +276,22 @@
         """Its tenant's, where a quota is told, or else its caller's."""
         if tx.tenant is not None and tx.tenant.quota > 0:
             return self.tenants[tx.tenant]
-        return self.callers.setdefault(tx.caller, Meter())
+        # The last heard stands last, so that the tick finds those who have fallen silent at the head.
+        meter = self.callers.pop(tx.caller) if tx.caller in self.callers else Meter()
+        self.callers[tx.caller] = meter
+        meter.heard = self.now
+        return meter
 
     def count(self, tx: Transaction) -> int:
         """Count it in the windows; the delay that they ask for while the quota binds."""
-        meter, tx.counted_at = self.meter(tx), self.now
+        meter = tx.meter = self.meter(tx)
+        tx.counted_at = self.now
         meter.ring.add(self.now, 1 if meter.told else tx.size)
         return meter.delay(self.now, self.quota(meter)) if self.binding else 0
 
     def uncount(self, tx: Transaction) -> None:
         """What never ran is taken out again, or a caller that goes on asking would be shut out whole."""
-        meter = self.meter(tx)
-        meter.ring.take(self.now, tx.counted_at, 1 if meter.told else tx.size)
+        tx.meter.ring.take(self.now, tx.counted_at, 1 if tx.meter.told else tx.size)
 
     def quota(self, meter: Meter) -> float:
         """A second's quota: the tenant's as told, or twice the caller's even share of the bytes honoured.
@@ -293,18 +299,17 @@
         Never under an even share of what the running limit could serve: by chance alone a light one passes
         less. None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
-        peers = self.tenants.values() if meter.told else self.callers.values()
-        heard = max(1, sum(1 for peer in peers if peer.ring.total(self.now) > 0))
         could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
         if meter.told:
+            heard = max(1, sum(1 for peer in self.tenants.values() if peer.ring.total(self.now) > 0))
             return max(meter.told, could_serve / heard)
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
-        span = WINDOWS * WINDOW / SECOND
+        span, heard = WINDOWS * WINDOW / SECOND, max(1, len(self.callers))
         return max(QUOTA_SHARES * honoured / span, could_serve * honoured / number) / heard
 
     def heaviness(self, tx: Transaction) -> float:
         """How far its caller or tenant has come against its quota."""
-        meter = self.meter(tx)
+        meter: Meter = tx.meter
         return meter.ring.total(self.now) / (meter.told or max(1.0, self.quota(meter)))
 
     # ---- the hold ------------------------------------------------------------------------------------------
@@ -332,7 +337,7 @@
 
     def needs(self, tx: Transaction) -> float:
         """The time from its start to its answer, as things go now: cores, calls and the wait for a call."""
-        call = self.call_time * (1 + len(self.queue) / self.allowed_calls()) if self.call_time else 0.0
+        call = self.call_time * (1 + len(self.queue) / self.allowed)
         return self.rest(tx) + self.calls_made[tx.profile].usual * call
 
     def wanted(self, tx: Transaction) -> int:
@@ -355,6 +360,7 @@
     def enter_hold(self, tx: Transaction, delay: int) -> None:
         tx.place = Place.HOLD
         tx.ready = self.now + delay
+        self.look = True
         insort(self.hold, (tx.by, tx.serial, tx))
         self.weigh(tx, tx.size)
         self.watch_over(tx)
@@ -530,6 +536,8 @@
             # A refused or cut call says that what lies below is in trouble, however quickly it says so.
             took = max(took, ceil(2 * self.call_time))
         self.calls.add(self.now, took)
+        self.calls_took.add(self.now, took)
+        self.calls_ended.add(self.now, 1)
         share = self.allowed_calls()
         if share < 1:
             self.next_call = max(self.next_call, tx.call_at + ceil(took / share))
@@ -549,8 +557,10 @@
 
     def tick(self, gauges: Gauges) -> None:
         now = self.now
+        self.look = True
         self.notices.append(Tick(now + TICK))
-        self.callers = {caller: meter for caller, meter in self.callers.items() if meter.ring.total(now)}
+        while self.callers and next(iter(self.callers.values())).heard <= now - WINDOWS * WINDOW:
+            del self.callers[next(iter(self.callers))]
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
@@ -558,8 +568,9 @@
             self.stretch = (self.spent.total(self.core_clock) + prior) / (
                 self.done.total(self.core_clock) + prior
             )
-        recent = self.calls.recent(now)
-        self.call_time = sum(recent) / len(recent) if recent else self.calls.usual
+        ended = self.calls_ended.total(now)
+        self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
+        self.allowed = self.allowed_calls()
         full = len(self.on_cores) >= int(self.limit)
         busy = full if gauges.cores_used is None else gauges.cores_used >= BUSY
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
@@ -621,7 +632,8 @@
     def settle(self) -> Iterator[tuple[Transaction, Event]]:
         """After each batch, who goes on: the final answers that are due, then calls, then starts."""
         yield from self.overdue()
-        if self.hold:
+        if self.hold and self.look:
+            self.look = False
             yield from self.sweep()
         if self.queue:
             yield from self.next_calls()
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -113,6 +113,7 @@
     ready: int = 0
     serial: int = 0
     counted_at: int = 0
+    meter: Any = None
     calls: int = 0
     remembered: bool = False
     on_since: int = 0
@@ -253,13 +254,20 @@
     value: float
 
 
+@dataclass(slots=True)
+class Idle:
+    """Connections that have carried nothing for so long are closed."""
+
+    span: int
+
+
 @dataclass(slots=True)
 class Log:
     text: str
 
 
 Wish = Wait | Start | Call | SkipCall | Attach | Stop | Remember | Forget | Shed | WriteOff
-Notice = Tick | Health | Free | Log
+Notice = Tick | Health | Free | Idle | Log
 WAITS = (Wait, Start, Call, SkipCall, Attach)
 
 
