Close idle connections early, but keep them while more is shed than honoured

Cause: at full size hundreds of routers each keep a connection here; the table filled (81 links), which took up to a third of the cores, and turned 37 to 88% of attempts away whoever sent them. Could hurt where a few callers pause for longer than a second between bursts: they pay a handshake each time.

--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -15,7 +15,6 @@
     Call,
     Deployment,
     Forget,
-    Free,
     Gauges,
     Halt,
     Health,
@@ -166,7 +165,6 @@
         linger=late(told.real("family_info.linger_s", 0.0)),
         advises=told.flag("ceilings.retry_after") and longest > 0,
         longest_advice=early(longest),
-        takes_credit=told.text("family_info.signal", "off") == "credit",
     )
 
 
@@ -213,8 +211,6 @@
             return f"remind\t{seconds(at)}\ttick"
         case Health(good, stored):
             return f"mark_health\t{int(good)}\t{int(stored)}"
-        case Free(value):
-            return f"advertise\t{value:.4f}"
         case Idle(span):
             return f"idle_limit\t{seconds(span)}"
         case Log(text):
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -16,8 +16,8 @@
 # fmt: off
 # isort: off
 from .interface import (
-    NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Free, Gauges,
-    GiveUp, Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
+    NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Gauges, GiveUp,
+    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
     SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
 # isort: on
@@ -36,6 +36,7 @@
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
 STEADY = 1.3  # pace, against the usual, up to which runs are taken to go as usual
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
+IDLE = SECOND  # after which an idle connection is closed
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
 
@@ -107,7 +108,7 @@
     """The source's sensor for one caller or tenant."""
 
     def __init__(self, told: float = 0.0) -> None:
-        self.ring = Ring(WINDOWS, WINDOW)
+        self.ring, self.asked = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         self.told = told
         self.heard = 0
 
@@ -125,9 +126,8 @@
     def __init__(self, deployment: Deployment, now: int) -> None:
         self.site = deployment
         self.now = self.started = now
-        self.notices: list[Notice] = [Health(True), Idle(2 * SECOND), Tick(now + TICK)]
-        self.chance = deployment.seed
-        self.serial = 0
+        self.notices: list[Notice] = [Health(True), Tick(now + TICK)]
+        self.chance, self.serial = deployment.seed, 0
         # the source's windows
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
@@ -140,25 +140,22 @@
         self.hold: list[tuple[int, int, Transaction]] = []
         self.queue: list[tuple[bool, int, int, Transaction]] = []
         self.on_cores: dict[Transaction, None] = {}
-        self.in_hand = 0
         self.lingering: list[int] = []
         self.next_call = now
-        self.begun = 0
+        self.in_hand = self.begun = 0
         # what things take
-        self.runs = {profile: Times() for profile in deployment.profiles}
-        self.calls_made = {profile: Times() for profile in deployment.profiles}
+        self.runs, self.calls_made = ({p: Times() for p in deployment.profiles} for _ in range(2))
         self.all_runs, self.calls = Times(), Times()
         self.calls_took, self.calls_ended = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
-        self.core_clock = 0
+        self.core_clock = self.memory = 0
         self.stretch, self.call_time, self.allowed = 1.0, 0.0, 1.0
         # memory, labels, health and drain
-        self.memory = 0
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.good = True
-        self.free = -1.0
+        self.turned = Ring(WINDOWS, WINDOW)
+        self.good, self.idle = True, -1
         self.leaving: int | None = None
         self.end: int | None = None
 
@@ -287,6 +284,7 @@
         meter = tx.meter = self.meter(tx)
         tx.counted_at = self.now
         meter.ring.add(self.now, 1 if meter.told else tx.size)
+        meter.asked.add(self.now, 1 if meter.told else tx.size)
         return meter.delay(self.now, self.quota(meter)) if self.binding else 0
 
     def uncount(self, tx: Transaction) -> None:
@@ -304,13 +302,13 @@
             heard = max(1, sum(1 for peer in self.tenants.values() if peer.ring.total(self.now) > 0))
             return max(meter.told, could_serve / heard)
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
-        span, heard = WINDOWS * WINDOW / SECOND, max(1, len(self.callers))
-        return max(QUOTA_SHARES * honoured / span, could_serve * honoured / number) / heard
+        rate = max(QUOTA_SHARES * SECOND / (WINDOWS * WINDOW), could_serve / number)
+        return rate * honoured / max(1, len(self.callers))
 
     def heaviness(self, tx: Transaction) -> float:
-        """How far its caller or tenant has come against its quota."""
-        meter: Meter = tx.meter
-        return meter.ring.total(self.now) / (meter.told or max(1.0, self.quota(meter)))
+        """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it."""
+        asked: int = tx.meter.asked.total(self.now)
+        return asked / (tx.meter.told or max(1.0, self.quota(tx.meter)))
 
     # ---- the hold ------------------------------------------------------------------------------------------
 
@@ -383,6 +381,7 @@
 
     def shed(self, delay: float = 0) -> Shed:
         """The refusal says when to come back; in overload it also asks not to try elsewhere."""
+        self.turned.add(self.now, 1)
         if not self.site.advises:
             return Shed()
         wait = max(delay, self.wait_for_core(), TICK) if self.good else self.site.longest_advice
@@ -415,7 +414,7 @@
                 continue
             kept.append(tx)
             while self.now + ahead + least >= self.wanted(tx):
-                heavy = max(reversed(kept), key=self.heaviness)
+                heavy = max(reversed(kept), key=lambda one: (self.heaviness(one), one.again))
                 kept.remove(heavy)
                 lost.append(heavy)
                 if heavy is tx:
@@ -549,7 +548,7 @@
     # ---- time, health and drain ----------------------------------------------------------------------------
 
     def clock(self, now: int) -> None:
-        # Pace is kept over core time: what a slow spell taught is not forgotten while little runs.
+        # The pace is kept over core time: a slow spell is not forgotten while little runs.
         spent = len(self.on_cores) * (now - self.now)
         self.core_clock += spent + now - self.now
         self.spent.add(self.core_clock, spent)
@@ -571,8 +570,8 @@
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
-        full = len(self.on_cores) >= int(self.limit)
-        busy = full if gauges.cores_used is None else gauges.cores_used >= BUSY
+        used = gauges.cores_used
+        busy = len(self.on_cores) >= int(self.limit) if used is None else used >= BUSY
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
         self.crowded = busy and (self.read_late or any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold))
         self.read_late = False
@@ -582,7 +581,7 @@
             self.log(f"quota binds: {len(self.hold)} held, {len(self.on_cores)} on the cores")
         self.move_limit(busy)
         self.judge_health()
-        self.say_free()
+        self.close_idle()
 
     def move_limit(self, busy: bool) -> None:
         """Up while the cores show room and work is held, down once per window when runs are slowed."""
@@ -611,20 +610,21 @@
             self.notices.append(Health(good))
             self.log(f"health {'good' if good else 'bad'}: runs take {self.stretch:.1f} times the usual")
 
-    def say_free(self) -> None:
-        """How many a caller may have outstanding here: what is survived, or 0 while stuck or leaving."""
-        if not self.site.takes_credit:
-            return
-        value = CROWD_USED * self.crowd() if self.good else 0.0
-        if value != self.free:
-            self.free = value
-            self.notices.append(Free(value))
+    def close_idle(self) -> None:
+        """Idle connections are closed early: they take cores, and room from callers that have none.
+
+        Guards against many callers with little each. While more is shed than honoured they stay, or a storm
+        of tries would take the cores with handshakes and reading: a full table turns tries away for nothing.
+        """
+        idle = 0 if self.turned.total(self.now) > self.honoured_number.total(self.now) else IDLE
+        if idle != self.idle:
+            self.idle = idle
+            self.notices.append(Idle(idle))
 
     def leave(self, end: int) -> None:
         self.leaving, self.end = self.now, end
         self.log("leaving")
         self.judge_health()
-        self.say_free()
 
     def log(self, text: str) -> None:
         self.notices.append(Log(text))
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -80,7 +80,6 @@
     linger: int = 0
     advises: bool = False
     longest_advice: int = 0
-    takes_credit: bool = False
     seed: int = 1
 
 
@@ -107,6 +106,7 @@
     work: int = 0
     tenant: Tenant | None = None
     original: Transaction | None = None
+    again: bool = False
 
     place: Place = Place.ENDED
     by: int = 0
@@ -249,11 +249,6 @@
     stored: bool = True
 
 
-@dataclass(slots=True)
-class Free:
-    value: float
-
-
 @dataclass(slots=True)
 class Idle:
     """Connections that have carried nothing for so long are closed."""
@@ -267,7 +262,7 @@
 
 
 Wish = Wait | Start | Call | SkipCall | Attach | Stop | Remember | Forget | Shed | WriteOff
-Notice = Tick | Health | Free | Idle | Log
+Notice = Tick | Health | Idle | Log
 WAITS = (Wait, Start, Call, SkipCall, Attach)
 
 
