Take further tries for as old as sheds here, and advise for the time work waits unread

Their age is now taken to be the mean age of sheds here in the last window. The advice now covers the time that work waits unread. Could hurt where marked tries are second copies: they are taken for older than they are.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -154,8 +154,8 @@
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.turned = Ring(WINDOWS, WINDOW)
-        self.good, self.idle = True, -1
+        self.turned, self.shed_ages = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
+        self.good, self.idle, self.backlog = True, -1, 0
         self.leaving: int | None = None
         self.end: int | None = None
 
@@ -168,13 +168,13 @@
             yield from self.repeat(tx)
             return
         if not self.has_room(tx):
-            yield self.shed()
+            yield self.shed(tx)
             return
         delay = self.count(tx)
         if not self.fits(tx, delay):
             self.uncount(tx)
             # The advice keeps away all that its caller carries: a tenant's delay is not its caller's.
-            yield self.shed(0 if tx.meter.told else delay)
+            yield self.shed(tx, 0 if tx.meter.told else delay)
             return
         self.enter_hold(tx, delay)
         if tx.profile.kind is Kind.LABELLED:
@@ -189,7 +189,7 @@
                 self.forget(tx)
                 yield Forget()
             if isinstance(event, GiveUp):
-                yield self.shed()
+                yield self.shed(tx)
             return
         tx.has_run = True
         self.begun += 1
@@ -225,7 +225,7 @@
         """Wait for a turn, call, and go on; where it can't fit, leave the call out or end the transaction."""
         self.off_cores(tx)
         tx.place = Place.CALL_QUEUE
-        # Calls that can't be left out go first: when what lies below is slow, the others still earn a part.
+        # Calls that can't be left out go first: the others earn a part all the same.
         place = (tx.profile.skip_payoff > 0, tx.by, tx.serial, tx)
         insort(self.queue, place)
         event: Event = yield Wait()
@@ -313,11 +313,13 @@
     # ---- the hold ------------------------------------------------------------------------------------------
 
     def take_in(self, tx: Transaction) -> None:
-        """By when it is wanted: its latency goal from here on; the age of a further try does not show."""
+        """By when it is wanted; a further try, whose age does not show, is as old as sheds here have been."""
         self.serial += 1
         tx.serial = self.serial
-        self.read_late |= self.now - tx.arrived > SHORT_WAIT
-        tx.by = min(tx.due, tx.arrived + tx.profile.goal)
+        self.backlog = self.now - tx.arrived
+        self.read_late |= self.backlog > SHORT_WAIT
+        spent = tx.again and self.shed_ages.total(self.now) / max(1, self.turned.total(self.now))
+        tx.by = min(tx.due, tx.arrived + tx.profile.goal - int(spent))
 
     def has_room(self, tx: Transaction) -> bool:
         """Not past the grace of a drain, and within the memory, what its label will take included."""
@@ -379,12 +381,13 @@
     def watch_over(self, tx: Transaction) -> None:
         heapq.heappush(self.watch, (tx.due - TICK, tx.serial, tx))
 
-    def shed(self, delay: float = 0) -> Shed:
+    def shed(self, tx: Transaction, delay: float = 0) -> Shed:
         """The refusal says when to come back; in overload it also asks not to try elsewhere."""
         self.turned.add(self.now, 1)
+        self.shed_ages.add(self.now, self.now - tx.arrived)
         if not self.site.advises:
             return Shed()
-        wait = max(delay, self.wait_for_core(), TICK) if self.good else self.site.longest_advice
+        wait = max(delay, self.wait_for_core(), self.backlog, TICK) if self.good else self.site.longest_advice
         after = ceil(wait * (0.75 + self.draw() / 2))
         return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
 
@@ -404,6 +407,7 @@
         Where the hold, run in due order, would leave one behind, the transaction that goes is one of the
         caller that has come furthest against its quota, of those up to the one left behind.
         """
+        self.look = False
         ahead = self.wait_for_core()
         kept: list[Transaction] = []
         lost: list[Transaction] = []
@@ -563,10 +567,9 @@
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
-            prior = ceil(2 * self.all_runs.usual)
-            self.stretch = (self.spent.total(self.core_clock) + prior) / (
-                self.done.total(self.core_clock) + prior
-            )
+            prior = 2 * self.all_runs.usual
+            spent, done = (ring.total(self.core_clock) + prior for ring in (self.spent, self.done))
+            self.stretch = spent / done
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
@@ -596,11 +599,8 @@
         self.limit = max(float(cores), min(self.limit, CROWD_USED * self.crowd()))
 
     def runs_slowed(self) -> bool:
-        for times in self.runs.values():
-            recent = times.recent(self.now)
-            if recent and recent[len(recent) // 2] > SLOWED * times.base:
-                return True
-        return False
+        recents = ((times.recent(self.now), times.base) for times in self.runs.values())
+        return any(recent and recent[len(recent) // 2] > SLOWED * base for recent, base in recents)
 
     def judge_health(self) -> None:
         """Checks hear that runs hardly end here any more, for whatever reason, and when that is over."""
@@ -632,8 +632,7 @@
     def settle(self) -> Iterator[tuple[Transaction, Event]]:
         """After each batch, who goes on: the final answers that are due, then calls, then starts."""
         yield from self.overdue()
-        if self.hold and self.look:
-            self.look = False
+        if self.look:
             yield from self.sweep()
         if self.queue:
             yield from self.next_calls()
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -1,16 +1,7 @@
 """One app server without a wire: what happens is told by hand, what is wished for is kept."""
 
 from birchslip.driver import Driver
-from birchslip.interface import (
-    SECOND,
-    Deployment,
-    Ended,
-    Gauges,
-    Kind,
-    Outcome,
-    Profile,
-    Transaction,
-)
+from birchslip.interface import SECOND, Deployment, Ended, Gauges, Kind, Outcome, Profile, Transaction
 
 MS = SECOND // 1000
 HONOURED = Ended(Outcome.HONOURED)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,17 +3,7 @@
 import pytest
 
 from birchslip.brain import CALLS_KEPT
-from birchslip.interface import (
-    Below,
-    CallEnded,
-    Gone,
-    Halt,
-    Health,
-    Idle,
-    NeedsCall,
-    Outcome,
-    Tenant,
-)
+from birchslip.interface import Below, CallEnded, Gone, Halt, Health, Idle, NeedsCall, Outcome, Shed, Tenant
 
 from .desk import HONOURED, MS, Desk, profile
 
@@ -244,7 +234,24 @@
 def test_idle_connections_are_closed_early_but_stay_while_more_is_shed_than_honoured():
     desk = Desk(cores=1).warm(until=6000)
     for _ in range(99):
-        desk.brain.shed()
+        desk.brain.shed(desk.read(0))
     desk.at(6000, cpu=1.0).at(17_000, cpu=0.0)
     spans = [told.span for told in desk.told if isinstance(told, Idle)]
     assert len(spans) == 3 and spans[0] == spans[2] > 0 == spans[1]
+
+
+@pytest.mark.parametrize(("again", "wish"), [(False, ["Start"]), (True, ["Shed"])])
+def test_a_further_try_is_as_old_as_sheds_here_have_been(again, wish):
+    desk = Desk(cores=2).warm()
+    desk.brain.shed_ages.add(12_000 * MS, 900 * MS)
+    desk.brain.turned.add(12_000 * MS, 1)
+    tx = desk.read(12_000, again=again)
+    desk.at(12_000, desk.read(12_000), tx)
+    assert desk.wishes(tx) == wish
+
+
+def test_the_advice_covers_the_time_that_work_waits_unread():
+    desk = Desk(cores=1, advises=True, longest_advice=5000 * MS).warm()
+    tx = desk.read(12_000)
+    desk.at(12_990, tx, desk.read(12_000))
+    assert min(wish.after for _, wish in desk.said if isinstance(wish, Shed)) > 700 * MS
