--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -154,7 +154,7 @@
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.turned, self.shed_ages = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
+        self.turned, self.shed_ages, self.came_back = (Ring(WINDOWS, WINDOW) for _ in range(3))
         self.good, self.idle, self.backlog = True, -1, 0
         self.leaving: int | None = None
         self.end: int | None = None
@@ -271,13 +271,12 @@
 
     def meter(self, tx: Transaction) -> Meter:
         """Its tenant's, where a quota is told, or else its caller's."""
-        if tx.tenant is not None and tx.tenant.quota > 0:
-            return self.tenants[tx.tenant]
         # The last heard stands last, so that the tick finds those who have fallen silent at the head.
-        meter = self.callers.pop(tx.caller) if tx.caller in self.callers else Meter()
-        self.callers[tx.caller] = meter
+        back = tx.caller in self.callers
+        meter = self.callers[tx.caller] = self.callers.pop(tx.caller) if back else Meter()
         meter.heard = self.now
-        return meter
+        self.came_back.add(self.now, 1 if back else -1)
+        return self.tenants[tx.tenant] if tx.tenant is not None and tx.tenant.quota > 0 else meter
 
     def count(self, tx: Transaction) -> int:
         """Count it in the windows; the delay that they ask for while the quota binds."""
@@ -611,12 +610,14 @@
             self.log(f"health {'good' if good else 'bad'}: runs take {self.stretch:.1f} times the usual")
 
     def close_idle(self) -> None:
-        """Idle connections are closed early: they take cores, and room from callers that have none.
+        """Idle connections are closed early where most callers don't come back within the window.
 
-        Guards against many callers with little each. While more is shed than honoured they stay, or a storm
-        of tries would take the cores with handshakes and reading: a full table turns tries away for nothing.
+        Guards against many callers with little each: idle, they take cores, and room from others. While more
+        is shed than honoured they stay, or a storm of tries would take the cores with handshakes and reading:
+        a full table turns tries away for nothing.
         """
-        idle = 0 if self.turned.total(self.now) > self.honoured_number.total(self.now) else IDLE
+        storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
+        idle = 0 if storm or self.came_back.total(self.now) >= 0 else IDLE
         if idle != self.idle:
             self.idle = idle
             self.notices.append(Idle(idle))
