Bound what has begun by one and a half running limits; no early rise of the limit

The limit had risen to 3 in the first second, as its look-back was met by a tick too few, and what came back from calls stood beside it. Health no longer counts a run within its usual time: one long run on two cores turned a quiet server bad. Could hurt where calls take most of a transaction's time: fewer run beside them.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -28,13 +28,14 @@
 QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
 BUSY = 0.9  # the core gauge shows no room from here on
 SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
-LIMIT_TICK = SECOND // 2  # the core gauge looks back half a second: the limit rises no faster than it shows
+LIMIT_TICK = SECOND // 2 + 2 * TICK  # the core gauge looks back half a second: the limit rises after that
 RISE, CUT = 0.25, 0.9  # the running limit's step and its cut
 SLOWED = 2.0  # how far past its base a median run, and past the usual the pace, may be
 LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms on every core
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
 STEADY = 1.3  # pace, against the usual, up to which runs are taken to go as usual
+BEGUN = 1.5  # running limits that may have begun: those at calls come back beside what runs
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 IDLE = SECOND  # after which an idle connection is closed
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
@@ -150,7 +151,8 @@
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
         self.core_clock = self.memory = 0
-        self.stretch, self.call_time, self.allowed = 1.0, 0.0, 1.0
+        self.stretch = self.stuck = self.allowed = 1.0
+        self.call_time = 0.0
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
@@ -387,18 +389,14 @@
         if not self.site.advises:
             return Shed()
         wait = max(delay, self.wait_for_core(), self.backlog, TICK) if self.good else self.site.longest_advice
-        after = ceil(wait * (0.75 + self.draw() / 2))
-        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
-
-    def draw(self) -> float:
-        """A linear congruential generator; its high bits spread the moments at which callers come back."""
+        # A linear congruential generator; its high bits spread the moments at which callers come back.
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return (self.chance >> 40) / (1 << 24)
+        after = ceil(wait * (0.75 + (self.chance >> 40) / (1 << 25)))
+        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
 
     def wait_for_core(self) -> float:
-        if len(self.on_cores) < int(self.limit):
-            return 0.0
-        return self.all_runs.usual * self.stretch / self.limit
+        full = len(self.on_cores) >= int(self.limit)
+        return self.all_runs.usual * self.stretch / self.limit if full else 0.0
 
     def sweep(self) -> Iterator[tuple[Transaction, Event]]:
         """What can no longer be answered in time is answered at once, not kept.
@@ -430,7 +428,8 @@
 
     def starts(self) -> Iterator[tuple[Transaction, Event]]:
         """Held transactions start by due time, those under a delay once it has passed or binds no more."""
-        while len(self.on_cores) < int(self.limit) and self.begun < CROWD_USED * self.crowd():
+        bound = min(BEGUN * self.limit, CROWD_USED * self.crowd())
+        while len(self.on_cores) < int(self.limit) and self.begun < bound:
             tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.binding), None)
             if tx is None:
                 return
@@ -441,10 +440,8 @@
 
     def crowd(self) -> float:
         """How many on the cores the app server survives; while it warms up, fewer."""
-        warm = 1.0
-        if self.site.cold and self.site.cold_span:
-            grown = min(1.0, (self.now - self.started) / self.site.cold_span)
-            warm = self.site.cold_from + (1 - self.site.cold_from) * grown
+        grown = min(1.0, (self.now - self.started) / max(1, self.site.cold_span)) if self.site.cold else 1.0
+        warm = self.site.cold_from + (1 - self.site.cold_from) * grown
         return (1 + (self.site.crowd_multiple - 1) * warm) * self.site.cores
 
     # ---- runs ----------------------------------------------------------------------------------------------
@@ -568,7 +565,10 @@
         if self.all_runs.number >= 3 * self.site.cores:
             prior = 2 * self.all_runs.usual
             spent, done = (ring.total(self.core_clock) + prior for ring in (self.spent, self.done))
+            # A run that goes on is no sign of trouble until it is past what it usually takes.
+            going = ((tx.core_time + now - tx.on_since, self.typical(tx)) for tx in self.on_cores)
             self.stretch = spent / done
+            self.stuck = (spent - sum(took for took, usual in going if took < usual)) / done
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
@@ -603,18 +603,17 @@
 
     def judge_health(self) -> None:
         """Checks hear that runs hardly end here any more, for whatever reason, and when that is over."""
-        good = self.leaving is None and self.stretch < (STUCK if self.good else MENDED)
+        good = self.leaving is None and self.stuck < (STUCK if self.good else MENDED)
         if good != self.good:
             self.good = good
             self.notices.append(Health(good))
-            self.log(f"health {'good' if good else 'bad'}: runs take {self.stretch:.1f} times the usual")
+            self.log(f"health {'good' if good else 'bad'}: runs take {self.stuck:.1f} times the usual")
 
     def close_idle(self) -> None:
-        """Idle connections are closed early where most callers don't come back within the window.
+        """Idle connections take cores, and room from others: closed early where few callers come back.
 
-        Guards against many callers with little each: idle, they take cores, and room from others. While more
-        is shed than honoured they stay, or a storm of tries would take the cores with handshakes and reading:
-        a full table turns tries away for nothing.
+        Guards against many callers with little each. While more is shed than honoured they stay, against a
+        storm of tries: a full table turns them away before they cost a handshake and a reading.
         """
         storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
         idle = 0 if storm or self.came_back.total(self.now) >= 0 else IDLE
