--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -33,6 +33,7 @@
 SLOWED = 2.0  # how far past its base a median run, and past the usual the pace, may be
 LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms on every core
+FEW = 2  # usual runs that stand in for what has not been seen; thrice as many for the pace
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
 STEADY = 1.3  # pace, against the usual, up to which runs are taken to go as usual
 BEGUN = 1.5  # running limits that may have begun: those at calls come back beside what runs
@@ -133,16 +134,15 @@
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.binding = self.crowded = self.read_late = self.look = False
+        self.binding = self.crowded = self.look = False
         self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
-        self.limit_moved = self.limit_cut = now
+        self.limit_moved = self.limit_cut = self.next_call = now
         self.hold: list[tuple[int, int, Transaction]] = []
         self.queue: list[tuple[bool, int, int, Transaction]] = []
         self.on_cores: dict[Transaction, None] = {}
         self.lingering: list[int] = []
-        self.next_call = now
         self.in_hand = self.begun = 0
         # what things take
         self.runs, self.calls_made = ({p: Times() for p in deployment.profiles} for _ in range(2))
@@ -318,7 +318,6 @@
         self.serial += 1
         tx.serial = self.serial
         self.backlog = self.now - tx.arrived
-        self.read_late |= self.backlog > SHORT_WAIT
         spent = tx.again and self.shed_ages.total(self.now) / max(1, self.turned.total(self.now))
         tx.by = min(tx.due, tx.arrived + tx.profile.goal - int(spent))
 
@@ -563,20 +562,21 @@
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
-            prior = 2 * self.all_runs.usual
-            spent, done = (ring.total(self.core_clock) + prior for ring in (self.spent, self.done))
+            spent, done = self.spent.total(self.core_clock), self.done.total(self.core_clock)
+            few, some = FEW * self.all_runs.usual, 3 * FEW * self.all_runs.usual
             # A run that goes on is no sign of trouble until it is past what it usually takes.
             going = ((tx.core_time + now - tx.on_since, self.typical(tx)) for tx in self.on_cores)
-            self.stretch = spent / done
-            self.stuck = (spent - sum(took for took, usual in going if took < usual)) / done
+            self.stretch = (spent + some) / (done + some)
+            overdue = spent - sum(took for took, usual in going if took < usual)
+            self.stuck = (overdue + few) / (done + few)
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
         used = gauges.cores_used
         busy = len(self.on_cores) >= int(self.limit) if used is None else used >= BUSY
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
-        self.crowded = busy and (self.read_late or any(now - tx.ready > SHORT_WAIT for _, _, tx in self.hold))
-        self.read_late = False
+        waits = max((now - tx.ready for _, _, tx in self.hold), default=0)
+        self.crowded = busy and max(waits, self.backlog) > SHORT_WAIT
         self.binding = self.crowded and now - self.started >= WINDOWS * WINDOW
         if self.binding and now - self.logged >= WINDOWS * WINDOW:
             self.logged = now
