--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -10,7 +10,7 @@
 import heapq
 from bisect import bisect_left, insort
 from collections.abc import Generator, Iterator
-from math import ceil
+from math import ceil, inf
 from typing import Any
 
 # fmt: off
@@ -25,6 +25,7 @@
 
 TICK = 500  # one coarse timer: 50 ms
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
+SPAN = WINDOWS * WINDOW
 QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
 BUSY = 0.9  # the core gauge shows no room from here on
 SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
@@ -118,7 +119,7 @@
         """delay = (window total - bound) / quota per second."""
         if quota <= 0:
             return 0
-        bound = quota * WINDOWS * WINDOW / SECOND
+        bound = quota * SPAN / SECOND
         return max(0, ceil((self.ring.total(now) - bound) / quota * SECOND))
 
 
@@ -134,7 +135,7 @@
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.binding = self.crowded = self.look = False
+        self.binding = self.crowded = self.busy = self.look = False
         self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
@@ -157,8 +158,7 @@
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
         self.turned, self.shed_ages, self.came_back = (Ring(WINDOWS, WINDOW) for _ in range(3))
-        self.good, self.idle, self.backlog = True, -1, 0
-        self.leaving: int | None = None
+        self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
 
     # ---- the path of a transaction -------------------------------------------------------------------------
@@ -303,7 +303,7 @@
             heard = max(1, sum(1 for peer in self.tenants.values() if peer.ring.total(self.now) > 0))
             return max(meter.told, could_serve / heard)
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
-        rate = max(QUOTA_SHARES * SECOND / (WINDOWS * WINDOW), could_serve / number)
+        rate = max(QUOTA_SHARES * SECOND / (SPAN), could_serve / number)
         return rate * honoured / max(1, len(self.callers))
 
     def heaviness(self, tx: Transaction) -> float:
@@ -323,7 +323,7 @@
 
     def has_room(self, tx: Transaction) -> bool:
         """Not past the grace of a drain, and within the memory, what its label will take included."""
-        if self.leaving is not None and tx.arrived > self.leaving + self.site.grace:
+        if tx.arrived > self.shut:
             return False
         label = self.site.key_size if tx.profile.kind is Kind.LABELLED else 0
         return self.memory + tx.size + label <= MEMORY_USED * self.site.memory
@@ -427,7 +427,8 @@
 
     def starts(self) -> Iterator[tuple[Transaction, Event]]:
         """Held transactions start by due time, those under a delay once it has passed or binds no more."""
-        bound = min(BEGUN * self.limit, CROWD_USED * self.crowd())
+        # All that has begun may come back to the cores at once; while they show room, calls keep it away.
+        bound = min(CROWD_USED * self.crowd(), BEGUN * self.limit if self.busy else inf)
         while len(self.on_cores) < int(self.limit) and self.begun < bound:
             tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.binding), None)
             if tx is None:
@@ -557,7 +558,7 @@
         now = self.now
         self.look = True
         self.notices.append(Tick(now + TICK))
-        while self.callers and next(iter(self.callers.values())).heard <= now - WINDOWS * WINDOW:
+        while self.callers and next(iter(self.callers.values())).heard <= now - SPAN:
             del self.callers[next(iter(self.callers))]
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
@@ -573,27 +574,26 @@
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
         used = gauges.cores_used
-        busy = len(self.on_cores) >= int(self.limit) if used is None else used >= BUSY
+        self.busy = len(self.on_cores) >= int(self.limit) if used is None else used >= BUSY
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
         waits = max((now - tx.ready for _, _, tx in self.hold), default=0)
-        self.crowded = busy and max(waits, self.backlog) > SHORT_WAIT
-        self.binding = self.crowded and now - self.started >= WINDOWS * WINDOW
-        if self.binding and now - self.logged >= WINDOWS * WINDOW:
+        self.crowded = self.busy and max(waits, self.backlog) > SHORT_WAIT
+        self.binding = self.crowded and now - self.started >= SPAN
+        if self.binding and now - self.logged >= SPAN:
             self.logged = now
             self.log(f"quota binds: {len(self.hold)} held, {len(self.on_cores)} on the cores")
-        self.move_limit(busy)
+        self.move_limit()
         self.judge_health()
         self.close_idle()
 
-    def move_limit(self, busy: bool) -> None:
-        """Up while the cores show room and work is held, down once per window when runs are slowed."""
-        # The gauge lags: it shows room beside a full limit only after that time, with work held throughout.
+    def move_limit(self) -> None:
+        """Up while the cores show room and work is held for longer than the gauge lags; down as runs slow."""
         now, cores = self.now, self.site.cores
         if not self.hold or len(self.on_cores) < int(self.limit):
             self.limit_moved = now
-        if not busy and self.good and now - self.limit_moved >= LIMIT_TICK:
+        if not self.busy and self.good and now - self.limit_moved >= LIMIT_TICK:
             self.limit, self.limit_moved = self.limit + max(1.0, self.limit * RISE), now
-        elif busy and self.limit > cores and now - self.limit_cut >= WINDOWS * WINDOW and self.runs_slowed():
+        elif self.busy and self.limit > cores and now - self.limit_cut >= SPAN and self.runs_slowed():
             self.limit, self.limit_cut = self.limit * CUT, now
         self.limit = max(float(cores), min(self.limit, CROWD_USED * self.crowd()))
 
@@ -603,7 +603,7 @@
 
     def judge_health(self) -> None:
         """Checks hear that runs hardly end here any more, for whatever reason, and when that is over."""
-        good = self.leaving is None and self.stuck < (STUCK if self.good else MENDED)
+        good = self.end is None and self.stuck < (STUCK if self.good else MENDED)
         if good != self.good:
             self.good = good
             self.notices.append(Health(good))
@@ -622,7 +622,7 @@
             self.notices.append(Idle(idle))
 
     def leave(self, end: int) -> None:
-        self.leaving, self.end = self.now, end
+        self.shut, self.end = self.now + self.site.grace, end
         self.log("leaving")
         self.judge_health()
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -70,9 +70,9 @@
     assert desk.brain.limit == 2.0
 
 
-@pytest.mark.parametrize(("crowd", "most"), [(8.0, 3), (1.5, 2)], ids=["beside the limit", "survived"])
-def test_what_has_begun_is_bounded_for_it_may_all_come_back(crowd, most):
-    desk = Desk(profile(goal=20_000, outer=30_000), below=Below.SHARED, crowd_multiple=crowd).warm()
+@pytest.mark.parametrize(("cpu", "crowd", "most"), [(1.0, 8.0, 3), (1.0, 1.5, 2), (0.5, 8.0, 10)])
+def test_what_has_begun_is_bounded_for_it_may_all_come_back(cpu, crowd, most):
+    desk = Desk(profile(goal=20_000, outer=30_000), below=Below.SHARED, crowd_multiple=crowd).warm(cpu=cpu)
     for ms in range(12_000, 12_500, 10):
         tx = desk.read(ms)
         desk.at(ms, tx).at(ms + 5, (tx, NeedsCall()))
