Ask not to try elsewhere while more is shed than honoured

Could hurt where one server alone is in a storm and others have room: there only slow runs lift the wish.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -135,7 +135,7 @@
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.binding = self.crowded = self.busy = self.look = False
+        self.binding = self.crowded = self.busy = self.storm = self.look = False
         self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
@@ -382,7 +382,7 @@
         heapq.heappush(self.watch, (tx.due - TICK, tx.serial, tx))
 
     def shed(self, tx: Transaction, delay: float = 0) -> Shed:
-        """The refusal says when to come back; in overload it also asks not to try elsewhere."""
+        """It says when to come back; in overload and in a storm of tries, also not to try elsewhere."""
         self.turned.add(self.now, 1)
         self.shed_ages.add(self.now, self.now - tx.arrived)
         if not self.site.advises:
@@ -390,8 +390,8 @@
         wait = max(delay, self.wait_for_core(), self.backlog, TICK) if self.good else self.site.longest_advice
         # A linear congruential generator; its high bits spread the moments at which callers come back.
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        after = ceil(wait * (0.75 + (self.chance >> 40) / (1 << 25)))
-        return Shed(min(after, self.site.longest_advice), self.crowded and self.stretch < SLOWED)
+        after = min(ceil(wait * (0.75 + (self.chance >> 40) / (1 << 25))), self.site.longest_advice)
+        return Shed(after, (self.crowded or self.storm) and self.stretch < SLOWED)
 
     def wait_for_core(self) -> float:
         full = len(self.on_cores) >= int(self.limit)
@@ -615,8 +615,8 @@
         Guards against many callers with little each. While more is shed than honoured they stay, against a
         storm of tries: a full table turns them away before they cost a handshake and a reading.
         """
-        storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
-        idle = 0 if storm or self.came_back.total(self.now) >= 0 else IDLE
+        self.storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
+        idle = 0 if self.storm or self.came_back.total(self.now) >= 0 else IDLE
         if idle != self.idle:
             self.idle = idle
             self.notices.append(Idle(idle))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -140,9 +140,7 @@
 
 def test_an_empty_app_server_tries_whatever_the_figures_say():
     desk = Desk().warm(took=1500, until=14_000)
-    tx = desk.read(14_000)
-    desk.at(14_000, tx)
-    assert desk.wishes(tx) == ["Start"]
+    assert desk.at(14_000, tx := desk.read(14_000)).wishes(tx) == ["Start"]
 
 
 def test_a_stuck_app_server_asks_to_be_left_for_longest():
@@ -244,6 +242,7 @@
         desk.brain.shed(desk.read(0))
     desk.at(8000, cpu=0.5)
     assert ([told.span for told in desk.told if isinstance(told, Idle)][-1] > 0) is early
+    assert desk.brain.storm is (shed > 0)
 
 
 def test_a_further_try_is_as_old_as_sheds_here_have_been():
