--- a/birchslip/adapter/host.py
+++ b/birchslip/adapter/host.py
@@ -95,7 +95,7 @@
             work=0 if absent(parts[6]) else late(number(parts[6], "work_s")),
             tenant=tenants[tenant] if tenants else None,
             original=original,
-            again=not absent(parts[9]) and bool(whole(parts[9], "flags") & 2),
+            again=not absent(parts[9]) and bool(whole(parts[9], "flags") & wire.AGAIN),
         )
         self.ids[transaction] = number_here
         self.known[number_here] = transaction
--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -49,6 +49,7 @@
     "refused_conn": Outcome.UNREACHED,
     "superseded": Outcome.MOOT,
 }
+AGAIN = 2  # the flag of a marked further try
 
 
 class Malformed(ValueError):
@@ -169,10 +170,12 @@
 
 
 def gauges(text: str) -> Gauges:
-    if absent(text):
-        return Gauges()
-    seen = dict(pair.partition(":")[::2] for pair in text.split(","))
-    return Gauges(number(seen["core_use"], "gauge core_use") if "core_use" in seen else None)
+    seen: dict[str, float] = {}
+    if not absent(text):
+        for pair in text.split(","):
+            name, _, value = pair.partition(":")
+            seen[name] = number(value, f"gauge {name[:40]}")
+    return Gauges(cores_used=seen.get("core_use"))
 
 
 def outcome(text: str) -> Outcome:
