--- a/birchslip/adapter/host.py
+++ b/birchslip/adapter/host.py
@@ -7,10 +7,10 @@
 from typing import IO, TextIO
 from weakref import WeakKeyDictionary, WeakValueDictionary
 
+from ..deployment import Malformed, absent, early, late, number, whole
 from ..driver import Driver
 from ..interface import CallEnded, Ended, Event, Gone, NeedsCall, Notice, Profile, Transaction, Wish
 from . import wire
-from .wire import Malformed, absent, early, late, number, whole
 
 
 class Host:
--- a/birchslip/driver.py
+++ b/birchslip/driver.py
@@ -9,7 +9,10 @@
 
 
 class Driver:
-    """One app server. `carry` takes what a transaction wishes, `tell` what concerns the whole app server."""
+    """One app server. `carry` takes what a transaction wishes, `tell` what concerns the whole app server.
+
+    `fault` is told what one transaction's path raised, which ends that path alone; without it, it goes on up.
+    """
 
     def __init__(
         self,
@@ -17,9 +20,11 @@
         now: int,
         carry: Callable[[Transaction, Wish], None],
         tell: Callable[[Notice], None],
+        fault: Callable[[Transaction, Exception], None] | None = None,
     ) -> None:
         self.carry = carry
         self.tell = tell
+        self.fault = fault
         self.brain = Brain(deployment, now)
         self._tell_all()
 
@@ -43,6 +48,11 @@
                 self.carry(transaction, wish)
         except StopIteration:
             transaction.path = None
+        except Exception as trouble:
+            transaction.path = None
+            if self.fault is None:
+                raise
+            self.fault(transaction, trouble)
 
     def tick(self, gauges: Gauges) -> None:
         self.brain.tick(gauges)
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -123,6 +123,7 @@
     has_run: bool = False
     answered: bool = False
     path: Generator[Wish, Any, None] | None = None
+    outside: Any = None  # what the door keeps of it
 
 
 class Outcome(Enum):
--- /dev/null
+++ b/birchslip/net/__init__.py
@@ -0,0 +1,1 @@
+"""The app server on real sockets; it decides nothing."""
--- /dev/null
+++ b/birchslip/net/catalog.py
@@ -0,0 +1,94 @@
+"""The catalog that routers learn of app servers from: a report a second on a kept connection.
+
+A catalog that is down, slow or answers otherwise costs a report, and never touches a transaction.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+from . import http
+from .buffer import Buffer, Overflow
+from .connection import Connection, connect
+from .counters import Counters
+from .log import Log
+from .scheduler import READ, Scheduler
+
+EVERY = 10_000  # a report a second: two may fail before the entry lapses
+LIMIT = 5_000  # a report that is not answered within half a second has failed
+AGAIN = 2_000  # after a report that failed
+
+
+class Catalog:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        counters: Counters,
+        log: Log,
+        address: tuple[str, int],
+        name: str,
+        good: Callable[[], bool],
+    ) -> None:
+        self.scheduler, self.counters, self.log = scheduler, counters, log
+        self.address, self.good = address, good
+        self.path = f"/catalog/register/{quote(name, safe='')}"
+        self.host = f"{address[0]}:{address[1]}"
+        self.link: Connection | None = None
+
+    def keep_reporting(self) -> None:
+        while True:
+            began = self.scheduler.now
+            try:
+                self.report()
+                self.counters.count("catalog.reports")
+                wait = EVERY
+            except (OSError, Overflow, http.Unreadable) as trouble:
+                self.counters.count("catalog.failed")
+                self.log.fault("report to the catalog failed", why=str(trouble))
+                self.drop()
+                wait = AGAIN
+            self.scheduler.sleep(max(self.scheduler.now + AGAIN, began + wait))
+
+    def report(self) -> None:
+        """One report and its answer; OSError, Overflow or Unreadable say why it failed."""
+        limit = self.scheduler.now + LIMIT
+        if self.link is not None and self.hung_up(self.link):
+            self.drop()
+        if self.link is None:
+            self.link = Connection(self.scheduler, connect(self.scheduler, self.address), 131_072, 16_384)
+        link = self.link
+        state = b'{"status":"passing"}' if self.good() else b'{"status":"critical"}'
+        link.write(http.call("PUT", self.path, self.host, state))
+        answer = http.Answer()
+        whole = False
+
+        def take(buffer: Buffer) -> None:
+            nonlocal whole
+            whole = answer.read(buffer)
+
+        while not whole:
+            events = self.scheduler.wait(link.descriptor, link.mask(), limit)
+            if not link.open:
+                raise OSError(link.why)
+            if not events and self.scheduler.now >= limit:
+                raise OSError("no answer in time")
+            link.flush()
+            if link.open and events & READ:
+                link.read(take)
+            if not link.open and not whole:
+                raise OSError(link.why)
+        if answer.status != 204:
+            raise OSError(f"answered {answer.status}")
+        if not answer.keeps:
+            self.drop()
+
+    def hung_up(self, link: Connection) -> bool:
+        """Whether the catalog has closed it between two reports, or has said what was not asked for."""
+        link.read(lambda _: None)
+        return not link.open or len(link.buffer) > 0
+
+    def drop(self) -> None:
+        if self.link is not None:
+            self.link.close("dropped")
+            self.link = None
--- /dev/null
+++ b/birchslip/net/clients.py
@@ -0,0 +1,228 @@
+"""The routers: MessagePack-RPC on the listening address."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from .buffer import Buffer, Overflow
+from .connection import Connection
+from .counters import Counters
+from .log import Log
+from .messagepack import Incomplete, Unreadable, pack, unpack
+from .passage import Passage
+from .scheduler import READ, Scheduler
+
+CALL, REPLY, NEWS = 0, 1, 2  # types of message
+REFUSED, FAILED = "Overloaded", "Failed"
+OPEN_MOST = 32  # open transactions on one connection
+BOUND_IN = 65_536  # bytes of a connection's messages not yet taken
+BOUND_OUT = OPEN_MOST * 5_120  # as many answers of the largest size
+BACKLOG = 1024
+PEERS_KEEP = 32  # descriptors kept for the other peers, the log and the signals
+NO_ROOM_WAIT = 1_000  # accepting rests 100 ms when the system has no descriptor left
+SPARE = 20_000  # a connection told that it closes is closed here after two seconds, if nothing is open on it
+
+
+class Client:
+    """One router's connection."""
+
+    def __init__(self, clients: Clients, connection: Connection) -> None:
+        self.clients, self.connection = clients, connection
+        self.open: dict[int, Passage] = {}
+        self.highest = 0
+        self.closing = False
+
+    def take(self, buffer: Buffer) -> None:
+        """All whole messages that have been read; what is cut off waits for the next read."""
+        messages = []
+        trouble = ""
+        with memoryview(buffer.data) as view:
+            at = buffer.start
+            try:
+                while at < buffer.end:
+                    message, at = unpack(view, at, buffer.end)
+                    messages.append(message)
+            except Incomplete:
+                pass
+            except Unreadable as why:
+                trouble = str(why)
+        buffer.skip(at - buffer.start)
+        for message in messages:
+            if not self.connection.open:
+                return
+            self.message(message)
+        if trouble:
+            self.malformed(trouble)
+
+    def message(self, message: Any) -> None:
+        match message:
+            case [0, int(), str(method), list(params)] if self.highest < message[1] < 1 << 32:
+                number = self.highest = message[1]
+                if method == "ping":
+                    self.clients.counters.count("clients.pings")
+                    self.send(pack([REPLY, number, None, [self.clients.good, {}]]))
+                elif len(self.open) >= OPEN_MOST:
+                    self.clients.counters.count("clients.errors")
+                    self.answer_error(number, f"more than {OPEN_MOST} open transactions")
+                else:
+                    self.clients.take_in(self, number, method, params)
+            case [2, "abort", [int(number)]]:
+                passage = self.open.pop(number, None)
+                if passage is not None:
+                    self.clients.gone(passage)
+            case [2, str(), list()]:
+                self.clients.counters.count("clients.unknown_news")
+            case [0, int(), *_]:
+                self.malformed(f"a call numbered {message[1]} after {self.highest}, or of a wrong form")
+            case _:
+                self.malformed("a message of no known form")
+
+    def malformed(self, why: str) -> None:
+        self.clients.counters.count("clients.malformed")
+        self.clients.log.fault("malformed input from a router, its connection is closed", why=why)
+        self.connection.close("malformed")
+
+    # ---- answers -------------------------------------------------------------------------------------------
+
+    def answer_result(self, number: int, body: bytes) -> None:
+        self.send(pack([REPLY, number, None, [body, {}]]))
+
+    def answer_error(self, number: int, word: str, fields: dict[str, str] | None = None) -> None:
+        self.send(pack([REPLY, number, [word, fields or {}], None]))
+
+    def send(self, message: bytes) -> None:
+        self.connection.write(message)
+        self.clients.moved(self)
+
+    def say_closing(self) -> None:
+        """The router sends nothing new then, and closes it once everything has been answered."""
+        if not self.closing and self.connection.open:
+            self.closing = True
+            self.connection.write(pack([NEWS, "closing", []]))
+            self.clients.counters.count("clients.told_closing")
+            now = self.clients.scheduler.now
+            self.clients.scheduler.at(now + SPARE, self.close_spare)
+
+    def close_spare(self) -> None:
+        if not self.connection.open:
+            return
+        if not self.open:
+            self.connection.close("closing")
+        else:
+            self.clients.scheduler.at(self.clients.scheduler.now + SPARE, self.close_spare)
+
+
+class Clients:
+    """The listening socket and all connections on it, the one that moved last at the end."""
+
+    def __init__(self, scheduler: Scheduler, counters: Counters, log: Log, descriptors: int) -> None:
+        self.scheduler, self.counters, self.log = scheduler, counters, log
+        self.most = max(1, descriptors - PEERS_KEEP)
+        self.all: OrderedDict[Client, None] = OrderedDict()
+        self.good = True
+        self.idle = 0
+        self.listener: socket.socket | None = None
+        self.full = False
+        self.take_in: Callable[[Client, int, str, list[Any]], None]
+        self.gone: Callable[[Passage], None]
+        self.emptied: Callable[[], None]
+
+    def listen(self, address: tuple[str, int]) -> None:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.scheduler.spawn("listener", self.accept)
+
+    def accept(self) -> None:
+        while self.listener is not None:
+            if len(self.all) >= self.most:
+                # Left unaccepted, they wait in the system's queue until a connection ends.
+                self.full = True
+                self.scheduler.forget(self.listener.fileno())
+                self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
+                continue
+            self.scheduler.wait(self.listener.fileno(), READ)
+            if self.listener is not None:
+                self.accept_ready(self.listener)
+
+    def accept_ready(self, listener: socket.socket) -> None:
+        while len(self.all) < self.most:
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as trouble:
+                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.counters.count("clients.refused")
+                    self.log.fault("no descriptor for a connection", why=trouble.strerror)
+                    self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
+                    return
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.begin(sock)
+
+    def begin(self, sock: socket.socket) -> None:
+        client = Client(self, Connection(self.scheduler, sock, BOUND_IN, BOUND_OUT))
+        self.all[client] = None
+        self.counters.count("clients.opened")
+        self.counters.peak("clients.connections", len(self.all))
+        self.scheduler.spawn("router", lambda: self.serve(client))
+
+    def serve(self, client: Client) -> None:
+        why = "a fault"
+        try:
+            why = client.connection.serve(lambda buffer: self.taken(client, buffer))
+        finally:
+            client.connection.close(why)
+            del self.all[client]
+            self.counters.count("clients.closed")
+            for passage in list(client.open.values()):
+                self.gone(passage)
+            client.open.clear()
+            if not self.all:
+                self.emptied()
+
+    def taken(self, client: Client, buffer: Buffer) -> None:
+        self.moved(client)
+        try:
+            client.take(buffer)
+        except Overflow as why:
+            client.malformed(str(why))
+
+    def moved(self, client: Client) -> None:
+        if client in self.all:
+            self.all.move_to_end(client)
+
+    # ---- closing -------------------------------------------------------------------------------------------
+
+    def close_idle(self) -> None:
+        """Those at the head have carried nothing for the longest time."""
+        if not self.idle:
+            return
+        for client in list(self.all):
+            if client.connection.last > self.scheduler.now - self.idle:
+                return
+            if client.open or client.closing:
+                self.all.move_to_end(client)
+            else:
+                client.say_closing()
+
+    def leave(self) -> None:
+        """Nobody new, and those who are here hear it; what lies in the system's queue is still taken."""
+        if self.listener is not None:
+            self.accept_ready(self.listener)
+            self.scheduler.forget(self.listener.fileno())
+            self.listener.close()
+            self.listener = None
+        for client in list(self.all):
+            client.say_closing()
+
+    def close_all(self) -> None:
+        for client in list(self.all):
+            client.connection.close("the program ends")
--- /dev/null
+++ b/birchslip/net/connection.py
@@ -0,0 +1,123 @@
+"""One connection: one greenlet reads it and sends what is left over; writes go out once a pass."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from .buffer import Buffer
+from .scheduler import ENDED, READ, WRITE, Scheduler
+
+PIECES = 64  # gathered into one send
+CONNECT_LIMIT = 10_000  # a connection that takes longer than a second to open is taken as refused
+
+
+class Connection:
+    """`unsent` holds what is to go out, up to `bound` bytes; past it the peer reads too slowly: cut off."""
+
+    def __init__(self, scheduler: Scheduler, sock: socket.socket, bound_in: int, bound_out: int) -> None:
+        self.scheduler, self.sock, self.bound = scheduler, sock, bound_out
+        self.descriptor = sock.fileno()
+        self.buffer = Buffer(bound_in)
+        self.unsent: deque[bytes] = deque()
+        self.size = 0
+        self.open = True
+        self.flushing = False
+        self.why = ""
+        self.last = scheduler.now  # when something last went either way
+
+    def serve(self, take: Callable[[Buffer], None], idle: int = 0, keep: Callable[[], bool] = bool) -> str:
+        """Read until it ends and say why it did; `take` is called after each read.
+
+        With `idle`, it is closed once nothing has gone either way for so long, unless `keep` says otherwise.
+        """
+        while self.open:
+            until = self.last + idle if idle else None
+            events = self.scheduler.wait(self.descriptor, self.mask(), until)
+            if not self.open:
+                break
+            if events & WRITE:
+                self.flush()
+            if self.open and events & (READ | ENDED):
+                self.read(take)
+            if idle and not events and self.scheduler.now >= self.last + idle:
+                if not keep():
+                    self.close("idle")
+                self.last = self.scheduler.now
+        return self.why
+
+    def read(self, take: Callable[[Buffer], None]) -> None:
+        try:
+            count = self.buffer.fill(self.sock)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as trouble:
+            self.close(trouble.strerror or "broken")
+            return
+        if not count:
+            self.close("ended by the peer")
+            return
+        self.last = self.scheduler.now
+        take(self.buffer)
+
+    def write(self, piece: bytes) -> None:
+        """Goes out at the end of this pass, with all else for the same peer."""
+        if not self.open:
+            return
+        self.unsent.append(piece)
+        self.size += len(piece)
+        if not self.flushing:
+            self.flushing = True
+            self.scheduler.at_end(self.flush)
+
+    def flush(self) -> None:
+        self.flushing = False
+        while self.open and self.unsent:
+            pieces = [piece for piece, _ in zip(self.unsent, range(PIECES), strict=False)]
+            try:
+                sent = self.sock.sendmsg(pieces)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as trouble:
+                self.close(trouble.strerror or "broken")
+                return
+            self.last = self.scheduler.now
+            self.size -= sent
+            while sent:
+                piece = self.unsent.popleft()
+                if sent < len(piece):
+                    self.unsent.appendleft(piece[sent:])
+                    break
+                sent -= len(piece)
+        if self.size > self.bound:
+            self.close("reads too slowly")
+        elif self.open:
+            self.scheduler.widen(self.descriptor, self.mask())
+
+    def mask(self) -> int:
+        return READ | WRITE if self.unsent else READ
+
+    def close(self, why: str) -> None:
+        if self.open:
+            self.open, self.why = False, why
+            self.unsent.clear()
+            self.scheduler.forget(self.descriptor)
+            self.sock.close()
+
+
+def connect(scheduler: Scheduler, address: tuple[str, int]) -> socket.socket:
+    """A new connection, or OSError; only the calling task waits."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.connect_ex(address):
+            events = scheduler.wait(sock.fileno(), WRITE, scheduler.now + CONNECT_LIMIT)
+            trouble = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if trouble or not events:
+                raise OSError(trouble, "no connection")
+    except BaseException:
+        scheduler.forget(sock.fileno())
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/birchslip/net/counters.py
@@ -0,0 +1,34 @@
+"""What the program has taken in, sent and answered: one count for each peer or stage and kind of thing."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+# Shown even while they are nought, so that a report always tells the same story.
+STORY = (
+    "clients.opened clients.closed clients.refused clients.pings clients.malformed clients.errors "
+    "take_in.taken admit.repeats book.honoured book.failed book.shed book.written_off book.gone book.faults "
+    "send.launched send.stopped send.done send.crashed send.aborted send.stale "
+    "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
+    "relay.saturated relay.unreached relay.moot "
+    "agent.links agent.lost agent.refusals agent.asides agent.malformed agent.samples "
+    "vault.links vault.refused vault.lost vault.malformed vault.late "
+    "catalog.reports catalog.failed"
+).split()
+
+
+class Counters:
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter(dict.fromkeys(STORY, 0))
+        self.peaks: dict[str, int] = {}
+
+    def count(self, name: str, more: int = 1) -> None:
+        self.counts[name] += more
+
+    def peak(self, name: str, value: int) -> None:
+        if value > self.peaks.get(name, 0):
+            self.peaks[name] = value
+
+    def report(self) -> dict[str, int]:
+        """All of them, by name; peaks are marked as such."""
+        return dict(self.counts) | {f"{name}.most": value for name, value in sorted(self.peaks.items())}
--- /dev/null
+++ b/birchslip/net/labels.py
@@ -0,0 +1,98 @@
+"""The table of labels: which try has the entry, which one ran, and what it made.
+
+A label's run is claimed here and nowhere else, so a second launch within its window cannot happen, whatever
+the timing: the claim names the try that runs, and stands until the window is over, also when that try was
+written off.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from ..interface import Outcome
+from .passage import Conclusion, Passage
+
+
+@dataclass(eq=False, slots=True)
+class Label:
+    """One entry. `until` is the last arrival that it stands for, `ran` the try that holds the claim."""
+
+    name: str
+    holder: Passage
+    until: int
+    ran: Passage | None = None
+    conclusion: Conclusion | None = None
+    waiting: list[Passage] = field(default_factory=list)
+
+
+class Labels:
+    def __init__(self, longest_wait: int) -> None:
+        # An entry is found by arrival, however late the repeat is read: it is kept for that much longer.
+        self.longest_wait = longest_wait
+        self.table: dict[str, Label] = {}
+        self.ends: list[tuple[int, int, Label]] = []
+        self.serial = 0
+
+    def find(self, name: str, arrived: int) -> Passage | None:
+        """The try that one which arrived then repeats: the one that ran, else the one with the entry."""
+        entry = self.table.get(name)
+        if entry is None or arrived > entry.until:
+            return None
+        return entry.ran or entry.holder
+
+    def remember(self, passage: Passage, until: int, now: int) -> None:
+        self.purge(now)
+        entry = self.table.get(passage.label_name)
+        if entry is None or passage.transaction.arrived > entry.until:
+            entry = self.table[passage.label_name] = Label(passage.label_name, passage, until)
+        entry.holder, entry.until = passage, max(until, entry.until)
+        passage.label = entry
+        self.serial += 1
+        heapq.heappush(self.ends, (entry.until + self.longest_wait, self.serial, entry))
+
+    def forget(self, passage: Passage) -> list[Passage]:
+        """Drop the entry of one that never ran; those that waited for it are returned."""
+        entry = passage.label
+        if entry is None or entry.ran is not None or entry.holder is not passage:
+            return []
+        if self.table.get(entry.name) is entry:
+            del self.table[entry.name]
+        waiting, entry.waiting = entry.waiting, []
+        return waiting
+
+    def claim(self, passage: Passage) -> bool:
+        """Whether this try may run: only one may, for as long as the entry stands."""
+        entry = passage.label or self.table.get(passage.label_name)
+        if entry is None:
+            return False
+        if entry.ran is not None and entry.ran is not passage:
+            return False
+        entry.ran = passage
+        passage.label = entry
+        entry.until = max(entry.until, passage.transaction.arrived + passage.transaction.profile.window)
+        return True
+
+    def attach(self, passage: Passage, original: Passage | None) -> Conclusion | None:
+        """What the original's label has come to, or None: then this one waits for it."""
+        entry = passage.label = original.label if original is not None else None
+        if entry is None:
+            return Conclusion(Outcome.ERRED)
+        if entry.conclusion is None:
+            entry.waiting.append(passage)
+        return entry.conclusion
+
+    def conclude(self, passage: Passage, conclusion: Conclusion) -> list[Passage]:
+        """The claimed run is over; those that waited for it are returned."""
+        entry = passage.label
+        if entry is None or entry.ran is not passage:
+            return []
+        entry.conclusion = conclusion
+        waiting, entry.waiting = entry.waiting, []
+        return waiting
+
+    def purge(self, now: int) -> None:
+        while self.ends and self.ends[0][0] < now:
+            entry = heapq.heappop(self.ends)[2]
+            if entry.until + self.longest_wait < now and self.table.get(entry.name) is entry:
+                del self.table[entry.name]
--- /dev/null
+++ b/birchslip/net/log.py
@@ -0,0 +1,99 @@
+"""structlog lines that never block: kept up to a bound and written while the descriptor takes them."""
+
+from __future__ import annotations
+
+import os
+import select
+from collections import deque
+from typing import Any
+
+import structlog
+
+from .scheduler import WRITE, Scheduler
+
+LINE = 2048  # well under what a pipe takes whole
+KEPT = 256  # lines; more are dropped and counted
+RATE = 10_000  # a kind of fault is logged at most once a second
+
+
+class Sink:
+    """What structlog writes to; `drain` is the task that passes the lines on."""
+
+    def __init__(self, scheduler: Scheduler, descriptor: int = 2) -> None:
+        self.scheduler, self.descriptor = scheduler, descriptor
+        self.lines: deque[bytes] = deque()
+        self.dropped = 0
+        self.idle = False
+
+    def msg(self, text: str) -> None:
+        if len(self.lines) >= KEPT:
+            self.dropped += 1
+            return
+        self.lines.append(text.replace("\n", "\\n").encode()[: LINE - 1] + b"\n")
+        if not self.idle:
+            self.idle = True
+            self.scheduler.spawn("log", self.drain)
+
+    def drain(self) -> None:
+        # Written only when poll says that there is room, and never more than a pipe takes whole.
+        while self.lines:
+            if not self.scheduler.wait(self.descriptor, WRITE) & WRITE:
+                self.lines.clear()
+                break
+            self.write_one()
+        self.scheduler.forget(self.descriptor)
+        self.idle = False
+
+    def write_one(self) -> None:
+        try:
+            os.write(self.descriptor, self.lines.popleft())
+        except OSError:
+            self.lines.clear()
+
+    def finish(self, milliseconds: int = 100) -> None:
+        """At exit: what the descriptor takes within a moment."""
+        poll = select.poll()
+        poll.register(self.descriptor, WRITE)
+        while self.lines and any(events & WRITE for _, events in poll.poll(milliseconds)):
+            self.write_one()
+
+
+class Log:
+    """The program's log: plain lines, and faults that come in crowds limited in rate."""
+
+    def __init__(self, scheduler: Scheduler, name: str) -> None:
+        self.scheduler = scheduler
+        self.sink = Sink(scheduler)
+        structlog.configure(
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.format_exc_info,
+                structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+            ],
+            logger_factory=lambda *_: Plain(self.sink),
+            cache_logger_on_first_use=True,
+        )
+        self.logger = structlog.get_logger().bind(server=name)
+        self.last: dict[str, int] = {}
+        self.passed: dict[str, int] = {}
+
+    def info(self, event: str, **more: Any) -> None:
+        self.logger.info(event, **more)
+
+    def fault(self, event: str, **more: Any) -> None:
+        """At most one line a second of each kind, with the number of those passed over."""
+        now = self.scheduler.now
+        if now - self.last.get(event, -RATE) < RATE:
+            self.passed[event] = self.passed.get(event, 0) + 1
+            return
+        self.last[event] = now
+        passed = self.passed.pop(event, 0)
+        self.logger.warning(event, **more, **({"passed_over": passed} if passed else {}))
+
+
+class Plain:
+    """The logger that structlog wraps."""
+
+    def __init__(self, sink: Sink) -> None:
+        self.msg = self.info = self.warning = self.error = sink.msg
--- /dev/null
+++ b/birchslip/net/passage.py
@@ -0,0 +1,45 @@
+"""One transaction's way through the program: what the door knows of it, beside what the decisions know."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..interface import Outcome, Transaction
+
+if TYPE_CHECKING:
+    from .clients import Client
+    from .labels import Label
+    from .scheduler import Timer
+
+
+@dataclass(eq=False, slots=True)
+class Passage:
+    """`name` is the id it has with every peer; `number` is that of its message on its router's connection."""
+
+    client: Client
+    number: int
+    name: str
+    profile: str
+    body: bytes
+    transaction: Transaction
+    label_name: str = ""
+    label: Label | None = None
+    answered: bool = False
+    running: bool = False
+    # the call that its run waits for: the notice's number and body, and what was asked of the vault
+    need: int = 0
+    need_body: bytes = b""
+    calling: bool = False
+    call_at: int = 0
+    call_timer: Timer | None = None
+    # the last order to the agent that no notice has answered yet: given again if the link is lost meanwhile
+    order: bytes = b""
+
+
+@dataclass(eq=False, slots=True)
+class Conclusion:
+    """How a run ended, and what it made."""
+
+    outcome: Outcome
+    result: bytes = field(default=b"", repr=False)
--- /dev/null
+++ b/birchslip/net/program.py
@@ -0,0 +1,203 @@
+"""The program: it puts peers and stages together and goes through its phases, from start to exit."""
+
+from __future__ import annotations
+
+import resource
+import signal
+import socket
+import traceback
+from dataclasses import replace
+from enum import Enum
+
+from ..interface import Gauges, Health, Idle, Notice, Tick
+from ..interface import Log as Remark
+from .catalog import Catalog
+from .clients import Clients
+from .counters import Counters
+from .labels import Labels
+from .log import Log
+from .passage import Passage
+from .scheduler import READ, Scheduler
+from .servers import Agent
+from .site import Site
+from .stages.admit import Admit
+from .stages.book import Book
+from .stages.relay import Relay
+from .stages.route import Route
+from .stages.send import Send
+from .stages.take_in import TakeIn
+from .vault import Vault
+
+SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
+END_AHEAD = 500  # all is closed 50 ms before the process would be killed
+IDLE_EVERY = 2_500  # connections are looked through for idle ones four times a second
+
+
+class Phase(Enum):
+    STARTING = "starting"  # listening, checks are answered; the agent has not greeted yet
+    SERVING = "serving"
+    DRAINING = "draining"  # told to leave: nobody new, all that was read is answered
+    CLOSING = "closing"  # all is answered; what is written goes out
+    ENDED = "ended"
+
+
+MOVES = {
+    Phase.STARTING: (Phase.SERVING, Phase.CLOSING),
+    Phase.SERVING: (Phase.DRAINING,),
+    Phase.DRAINING: (Phase.CLOSING,),
+    Phase.CLOSING: (Phase.ENDED,),
+    Phase.ENDED: (),
+}
+
+
+class Program:
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.phase = Phase.STARTING
+        self.scheduler = Scheduler(self.settle, self.fault)
+        self.log = Log(self.scheduler, site.name)
+        self.counters = Counters()
+        scheduler, counters, log = self.scheduler, self.counters, self.log
+        descriptors = min(site.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        # peers
+        self.clients = Clients(scheduler, counters, log, descriptors)
+        self.agent = Agent(scheduler, counters, log, site.agent, site.gauges)
+        self.vault = Vault(scheduler, counters, log, site.vault)
+        self.catalog = Catalog(scheduler, counters, log, site.catalog, site.name, self.passing)
+        # stages
+        self.labels = Labels(max(profile.outer for profile in site.deployment.profiles))
+        self.take_in = TakeIn(scheduler, counters, log, site.deployment, site.profiles, site.tenants)
+        self.admit = Admit(scheduler, counters, self.labels)
+        self.book = Book(counters, log, self.labels, self.admit)
+        self.relay = Relay(scheduler, counters, self.agent, self.vault, self.admit)
+        self.send = Send(counters, log, self.agent, self.labels, self.admit, self.relay, self.book)
+        self.route = Route(scheduler, self.labels, self.send, self.relay, self.book)
+        # who hears whom
+        self.clients.take_in, self.clients.gone = self.take_in, self.gone
+        self.clients.emptied = self.scheduler.soon
+        self.take_in.admit, self.take_in.known = self.admit.arrive, self.agent.runs.__contains__
+        self.admit.carry, self.admit.tell = self.route.carry, self.tell
+        self.admit.unready, self.admit.fault = self.book.shed, self.book.fault
+        self.agent.greeted, self.agent.noticed, self.agent.doubt = (
+            self.greeted,
+            self.send.noticed,
+            self.send.doubt,
+        )
+        self.vault.ended = self.relay.ended
+        self.signals, self.wakeup = socket.socketpair()
+
+    # ---- phases --------------------------------------------------------------------------------------------
+
+    def move(self, phase: Phase) -> None:
+        if phase not in MOVES[self.phase]:
+            raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
+        self.log.info("phase", left=self.phase.value, now=phase.value)
+        self.phase = phase
+
+    def run(self) -> None:
+        self.hear_signals()
+        self.clients.listen(self.site.listen)
+        self.log.info("listening", address=f"{self.site.listen[0]}:{self.site.listen[1]}")
+        self.scheduler.spawn("signals", self.take_signals)
+        self.scheduler.spawn("agent", self.agent.keep_link)
+        self.scheduler.spawn("catalog", self.catalog.keep_reporting)
+        self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.look_for_idle)
+        try:
+            self.scheduler.run()
+        finally:
+            self.log.info("counters", **self.counters.report())
+            self.log.sink.finish()
+
+    def greeted(self, cold: bool, began: int) -> None:
+        """The agent is up: the decisions begin, empty, with its age."""
+        if self.phase is Phase.STARTING:
+            self.move(Phase.SERVING)
+            self.admit.begin(replace(self.site.deployment, cold=cold), began)
+
+    def leave(self) -> None:
+        """The notice to leave; a second one ends the program at once."""
+        if self.phase not in (Phase.STARTING, Phase.SERVING):
+            self.scheduler.stop()
+            return
+        end = self.scheduler.now + self.site.stop
+        if self.phase is Phase.STARTING:
+            self.clients.leave()
+            self.close()
+            return
+        self.move(Phase.DRAINING)
+        self.admit.leave(end)
+        self.clients.leave()
+        self.scheduler.at(end - END_AHEAD, self.close)
+
+    def close(self) -> None:
+        """Nothing more is owed, or the time is up: what is written goes out at the end of this pass."""
+        if self.phase in (Phase.STARTING, Phase.DRAINING):
+            self.move(Phase.CLOSING)
+            self.scheduler.at(self.scheduler.now, self.end)
+
+    def end(self) -> None:
+        self.clients.close_all()
+        self.move(Phase.ENDED)
+        self.scheduler.stop()
+
+    def settle(self) -> None:
+        """Once a pass."""
+        self.admit.settle()
+        if self.phase is Phase.DRAINING and not self.clients.all and not self.admit.news:
+            self.close()
+
+    # ---- signals -------------------------------------------------------------------------------------------
+
+    def hear_signals(self) -> None:
+        self.signals.setblocking(False)
+        self.wakeup.setblocking(False)
+        signal.set_wakeup_fd(self.wakeup.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            signal.signal(number, lambda *_: None)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+
+    def take_signals(self) -> None:
+        while True:
+            self.scheduler.wait(self.signals.fileno(), READ)
+            try:
+                numbers = self.signals.recv(64)
+            except BlockingIOError:
+                continue
+            for number in numbers:
+                if number == signal.SIGUSR1:
+                    self.log.info("counters", **self.counters.report())
+                elif number in (signal.SIGTERM, signal.SIGINT):
+                    self.leave()
+
+    # ---- what concerns the whole app server ----------------------------------------------------------------
+
+    def tell(self, notice: Notice) -> None:
+        match notice:
+            case Tick(at):
+                self.scheduler.at(at - SAMPLE_AHEAD, self.agent.sample)
+                self.scheduler.at(at, self.tick)
+            case Health(good):
+                self.clients.good = good
+            case Idle(span):
+                self.clients.idle = span
+            case Remark(text):
+                self.log.info("decisions", text=text)
+
+    def tick(self) -> None:
+        self.admit.tick(Gauges(self.agent.cores_used()))
+
+    def passing(self) -> bool:
+        return self.clients.good and self.phase in (Phase.STARTING, Phase.SERVING)
+
+    def look_for_idle(self) -> None:
+        self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.look_for_idle)
+        self.clients.close_idle()
+
+    def gone(self, passage: Passage) -> None:
+        self.relay.drop(passage)
+        self.book.gone(passage)
+
+    def fault(self, name: str, trouble: Exception) -> None:
+        """What a task or a timer raised: it ends that alone."""
+        self.counters.count("program.faults")
+        self.log.fault("a fault", task=name, trace="".join(traceback.format_exception(trouble))[-1500:])
--- /dev/null
+++ b/birchslip/net/site.py
@@ -0,0 +1,88 @@
+"""Where this app server stands: read once at start, from the JSON that `PROXY_CONFIG` names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ..deployment import Malformed, Setup, deployment, flatten
+from ..interface import Deployment
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Site:
+    """The program's own; the settings become a `Deployment`, and their names stay at the door."""
+
+    name: str
+    listen: Address
+    agent: Address
+    catalog: Address
+    vault: Address | None
+    stop: int
+    sockets: int
+    deployment: Deployment
+    profiles: list[str]
+    tenants: list[str]
+    gauges: list[str]
+
+
+def read_site(environment: Mapping[str, str]) -> Site:
+    """Malformed or OSError says what is wrong, in one line."""
+    path = environment.get("PROXY_CONFIG", "")
+    if not path:
+        raise Malformed("PROXY_CONFIG names no file")
+    with open(path, encoding="utf-8") as file:
+        try:
+            told = json.load(file)
+        except (ValueError, RecursionError) as trouble:
+            raise Malformed(f"{path} is not JSON: {trouble}") from None
+    if not isinstance(told, dict):
+        raise Malformed(f"{path} holds no object")
+    setup = Setup(flatten(told.get("settings", {})))
+    limits = told.get("limits", {})
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
+    stop = told.get("stop_ms", 3000)
+    for what, value in (("limits.sockets", sockets), ("stop_ms", stop)):
+        if not isinstance(value, int | float) or not 1 <= value < 1e9:
+            raise Malformed(f"{what} is not a number above 0: {value!r}")
+    site = Site(
+        name=environment.get("PROXY_NAME") or text(told, "name"),
+        listen=address(environment.get("PROXY_LISTEN") or text(told, "listen"), "listen"),
+        agent=address(text(told, "agent"), "agent"),
+        catalog=address(text(told, "directory"), "directory"),
+        vault=address(text(told, "vault"), "vault") if "vault" in told else None,
+        stop=int(stop * 10),
+        sockets=int(sockets),
+        deployment=deployment(seed(told), setup),
+        profiles=setup.names("classes"),
+        tenants=setup.names("tenants"),
+        gauges=setup.text("family_info.gauges", "").split(","),
+    )
+    if not all(site.profiles) or not site.profiles:
+        raise Malformed("settings.classes has no names")
+    return site
+
+
+def text(told: dict[str, Any], name: str) -> str:
+    value = told.get(name)
+    if not isinstance(value, str) or not value:
+        raise Malformed(f"{name} is absent or not a text")
+    return value
+
+
+def seed(told: dict[str, Any]) -> int:
+    try:
+        return int(str(told.get("seed", "1")), 16)
+    except ValueError:
+        raise Malformed(f"seed is not hexadecimal: {told.get('seed')!r}") from None
+
+
+def address(value: str, what: str) -> Address:
+    host, colon, port = value.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Malformed(f"{what} is not HOST:PORT: {value[:60]!r}")
+    return host, int(port)
--- /dev/null
+++ b/birchslip/net/stages/__init__.py
@@ -0,0 +1,1 @@
+"""The chain that a transaction passes: take in, admit, route, send, relay, book."""
--- /dev/null
+++ b/birchslip/net/stages/admit.py
@@ -0,0 +1,81 @@
+"""Admit: what was read and what has happened goes to the decisions, in order, at the end of each pass."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from ...driver import Driver
+from ...interface import Deployment, Event, Gauges, Notice, Transaction, Wish
+from ..counters import Counters
+from ..labels import Labels
+from ..passage import Passage
+from ..scheduler import Scheduler
+
+
+class Admit:
+    """`unready` hears of what comes before the decisions have begun, `fault` of what went wrong with one."""
+
+    def __init__(self, scheduler: Scheduler, counters: Counters, labels: Labels) -> None:
+        self.scheduler, self.counters, self.labels = scheduler, counters, labels
+        self.driver: Driver | None = None
+        self.news: deque[tuple[Passage, Event | None]] = deque()
+        self.gauges: Gauges | None = None
+        self.carry: Callable[[Transaction, Wish], None]
+        self.tell: Callable[[Notice], None]
+        self.unready: Callable[[Passage], None]
+        self.fault: Callable[[Passage, Exception], None]
+
+    def begin(self, deployment: Deployment, began: int) -> None:
+        self.driver = Driver(deployment, began, self.carry, self.tell, self.fault_of)
+
+    def arrive(self, passage: Passage) -> None:
+        self.news.append((passage, None))
+
+    def hear(self, passage: Passage, event: Event) -> None:
+        self.news.append((passage, event))
+        self.scheduler.soon()
+
+    def tick(self, gauges: Gauges) -> None:
+        self.gauges = gauges
+
+    def leave(self, end: int) -> None:
+        if self.driver is not None:
+            self.driver.clock(self.scheduler.now)
+            self.driver.leave(end)
+
+    def settle(self) -> None:
+        """One batch: what has come, then a tick, then who goes on. What that brings is the next batch's."""
+        if self.driver is None:
+            while self.news:
+                self.unready(self.news.popleft()[0])
+            return
+        self.driver.clock(self.scheduler.tell_time())
+        for _ in range(len(self.news)):
+            passage, event = self.news.popleft()
+            try:
+                self.pass_on(self.driver, passage, event)
+            except Exception as trouble:
+                self.fault(passage, trouble)
+        if self.gauges is not None:
+            gauges, self.gauges = self.gauges, None
+            self.driver.tick(gauges)
+        self.driver.settle()
+
+    def pass_on(self, driver: Driver, passage: Passage, event: Event | None) -> None:
+        transaction = passage.transaction
+        if event is not None:
+            driver.deliver(transaction, event)
+            return
+        if passage.answered:
+            return
+        if passage.label_name:
+            original = self.labels.find(passage.label_name, transaction.arrived)
+            if original is not None:
+                self.counters.count("admit.repeats")
+                transaction.original = original.transaction
+        transaction.outside = passage
+        driver.arrive(transaction)
+
+    def fault_of(self, transaction: Transaction, trouble: Exception) -> None:
+        self.fault(transaction.outside, trouble)
--- /dev/null
+++ b/birchslip/net/stages/book.py
@@ -0,0 +1,93 @@
+"""Book: each transaction gets its one final answer here, and what came of it is counted."""
+
+from __future__ import annotations
+
+import traceback
+
+from ...interface import Ended, Gone, Outcome
+from ..clients import FAILED, REFUSED
+from ..counters import Counters
+from ..labels import Labels
+from ..log import Log
+from ..passage import Conclusion, Passage
+from .admit import Admit
+
+
+class Book:
+    def __init__(self, counters: Counters, log: Log, labels: Labels, admit: Admit) -> None:
+        self.counters, self.log, self.labels, self.admit = counters, log, labels, admit
+
+    def close(self, passage: Passage, what: str) -> bool:
+        """Whether this is the final answer: there is one, and none once the caller has gone."""
+        if passage.answered:
+            return False
+        passage.answered = True
+        passage.client.open.pop(passage.number, None)
+        self.counters.count(f"book.{what}")
+        return True
+
+    def honour(self, passage: Passage, result: bytes) -> None:
+        if self.close(passage, "honoured"):
+            passage.client.answer_result(passage.number, result)
+
+    def fail(self, passage: Passage) -> None:
+        """Its run has failed."""
+        if self.close(passage, "failed"):
+            passage.client.answer_error(passage.number, FAILED)
+
+    def write_off(self, passage: Passage) -> None:
+        if self.close(passage, "written_off"):
+            passage.client.answer_error(passage.number, FAILED)
+
+    def shed(self, passage: Passage, after: int = 0, last: bool = False) -> None:
+        """Only ever said of what never ran."""
+        if self.close(passage, "shed"):
+            fields = {}
+            if after:
+                fields["holdoff"] = str(-(-after // 10))
+            if last:
+                fields["nomore"] = "1"
+            passage.client.answer_error(passage.number, REFUSED, fields)
+
+    def gone(self, passage: Passage) -> None:
+        """Its caller waits no longer, or its connection has ended."""
+        if self.close(passage, "gone"):
+            self.admit.hear(passage, Gone())
+
+    def conclude(self, passage: Passage, conclusion: Conclusion) -> None:
+        """Its run is over: the result, or that it failed, unless it was answered before."""
+        if conclusion.outcome is Outcome.HONOURED:
+            self.honour(passage, conclusion.result)
+        else:
+            self.fail(passage)
+
+    # ---- labels --------------------------------------------------------------------------------------------
+
+    def attach(self, passage: Passage, original: Passage | None) -> None:
+        """It shares what the try that it repeats comes to, or has come to."""
+        conclusion = self.labels.attach(passage, original)
+        if conclusion is not None:
+            self.share(passage, conclusion)
+
+    def share(self, passage: Passage, conclusion: Conclusion) -> None:
+        if passage.answered:
+            return
+        outcome = Outcome.HONOURED if conclusion.outcome is Outcome.HONOURED else Outcome.ERRED
+        self.conclude(passage, conclusion)
+        self.admit.hear(passage, Ended(outcome))
+
+    def forget(self, passage: Passage) -> None:
+        for repeat in self.labels.forget(passage):
+            self.share(repeat, Conclusion(Outcome.ERRED))
+
+    # ---- trouble -------------------------------------------------------------------------------------------
+
+    def fault(self, passage: Passage, trouble: Exception) -> None:
+        """An exception in its stages: it alone is written off, and the program goes on."""
+        self.counters.count("book.faults")
+        self.log.fault(
+            "a fault in a transaction's stages",
+            id=passage.name,
+            trace="".join(traceback.format_exception(trouble))[-1500:],
+        )
+        self.write_off(passage)
--- /dev/null
+++ b/birchslip/net/stages/send.py
@@ -0,0 +1,80 @@
+"""Send: runs are started and stopped at the agent, and their ends come back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...interface import Ended, Outcome
+from ..counters import Counters
+from ..labels import Labels
+from ..log import Log
+from ..passage import Conclusion, Passage
+from ..servers import Agent
+from .admit import Admit
+from .book import Book
+from .relay import Relay
+
+ENDS = {
+    "done": Outcome.HONOURED,
+    "crashed": Outcome.ERRED,
+    "aborted": Outcome.RECALLED,
+    "stale": Outcome.MOOT,
+}
+
+
+class Send:
+    def __init__(
+        self,
+        counters: Counters,
+        log: Log,
+        agent: Agent,
+        labels: Labels,
+        admit: Admit,
+        relay: Relay,
+        book: Book,
+    ) -> None:
+        self.counters, self.log, self.agent, self.labels = counters, log, agent, labels
+        self.admit, self.relay, self.book = admit, relay, book
+
+    def start(self, passage: Passage) -> None:
+        if passage.label_name and not self.labels.claim(passage):
+            # Another try of the same label holds the claim: this one shares what that one comes to.
+            self.counters.count("send.unclaimed")
+            self.log.fault("a second run of a label was asked for and not made", id=passage.name)
+            self.book.attach(passage, passage.label.ran if passage.label is not None else None)
+            return
+        passage.running = True
+        self.counters.count("send.launched")
+        self.counters.peak("send.running", len(self.agent.runs) + 1)
+        self.agent.launch(passage)
+
+    def stop(self, passage: Passage) -> None:
+        if passage.running:
+            self.counters.count("send.stopped")
+            self.agent.freeze(passage)
+
+    def noticed(self, kind: str, passage: Passage, told: dict[str, Any], body: bytes) -> None:
+        """A notice of the agent about one that runs."""
+        if kind == "request":
+            self.relay.wanted(passage, told["seq"], body)
+            return
+        end = told["end"]
+        if end not in ENDS:
+            raise ValueError(f"an outcome of {str(end)[:40]!r}")
+        self.counters.count(f"send.{end}")
+        self.ended(passage, ENDS[end], body, int(float(told.get("ms", 0)) * 10))
+
+    def doubt(self, passage: Passage) -> None:
+        """How its run ended can't be known any more."""
+        self.counters.count("send.unknown")
+        self.ended(passage, Outcome.RECALLED, b"", 0)
+
+    def ended(self, passage: Passage, outcome: Outcome, result: bytes, elapsed: int) -> None:
+        passage.running = False
+        self.relay.drop(passage)
+        conclusion = Conclusion(outcome, result)
+        waiting = self.labels.conclude(passage, conclusion)
+        self.book.conclude(passage, conclusion)
+        self.admit.hear(passage, Ended(outcome, elapsed))
+        for repeat in waiting:
+            self.book.share(repeat, conclusion)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from birchslip.adapter import wire
 from birchslip.adapter.host import Loop, serve
+from birchslip.deployment import early as round_early
+from birchslip.deployment import late as round_late
 
 HELLO = "hello\t7\tclasses.count=1\tclasses.0.effect=by_key\tclasses.0.aim_s=1.0\tclasses.0.hard_limit_s=4.0"
 HELLO += "\tclasses.0.window_s=5.0\tfamily_info.cores=2\tnew.key=1"
@@ -77,4 +78,4 @@
     ("seconds", "early", "late"), [(0.00015, 1, 2), (8.65225, 86522, 86523), (0.3, 3000, 3000)]
 )
 def test_conversion_errs_on_the_safe_side(seconds, early, late):
-    assert (wire.early(seconds), wire.late(seconds)) == (early, late)
+    assert (round_early(seconds), round_late(seconds)) == (early, late)
