--- /dev/null
+++ b/examples/toy.py
@@ -0,0 +1,305 @@
+"""A toy world around one app server: an agent that sleeps instead of working, a vault, a catalog and a router.
+
+    python examples/toy.py             the peers that app-server.json names, until interrupted
+    python examples/toy.py ask 20      twenty transactions to the app server, and what became of them
+
+They speak the same protocols as the real ones, as far as an app server sees it, and nothing more.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import socket
+import sys
+import threading
+import time
+from base64 import b64decode, b64encode
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from birchslip.net.messagepack import Incomplete, pack, unpack
+
+CONFIGURATION = Path(__file__).with_name("app-server.json")
+
+
+class Peer:
+    """Listens, and serves each connection in a thread of its own. Port 0 takes any free one."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.listener = socket.create_server((host, port))
+        self.host, self.port = self.listener.getsockname()
+        self.address = f"{self.host}:{self.port}"
+        self.links: list[socket.socket] = []
+        self.seen: queue.Queue[Any] = queue.Queue()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                link, _ = self.listener.accept()
+            except OSError:
+                return
+            self.links.append(link)
+            threading.Thread(target=self.guarded, args=(link,), daemon=True).start()
+
+    def guarded(self, link: socket.socket) -> None:
+        try:
+            self.serve(link)
+        except OSError:
+            pass  # the other side has gone
+        finally:
+            link.close()
+
+    def serve(self, link: socket.socket) -> None:
+        raise NotImplementedError
+
+    def drop(self) -> None:
+        """Break every connection; new ones are welcome."""
+        links, self.links = self.links, []
+        for link in links:
+            try:
+                link.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def say(self, raw: bytes) -> None:
+        """Raw bytes on the newest connection."""
+        self.links[-1].sendall(raw)
+
+    def stop(self) -> None:
+        self.listener.close()
+        self.drop()
+
+
+class Agent(Peer):
+    """Runs are sleeps. The words of a body say what a run does:
+
+    a number: so many milliseconds; `call`: a call half-way; `crash`: it fails; `hold`: it ends when told to.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, greets: bool = True) -> None:
+        self.began = time.time()
+        self.greets = greets
+        self.lock = threading.RLock()
+        self.notices: list[dict[str, Any]] = []
+        self.runs: dict[str, list[str]] = {}
+        self.bodies: dict[str, bytes] = {}
+        self.replies: dict[str, bytes] = {}
+        self.over: set[str] = set()
+        self.launched: list[str] = []
+        self.out: Any = None
+        super().__init__(host, port)
+
+    def serve(self, link: socket.socket) -> None:
+        for line in link.makefile("rb"):
+            order = json.loads(line)
+            with self.lock:
+                self.obey(link, order)
+            self.seen.put(order)
+
+    def obey(self, link: socket.socket, order: dict[str, Any]) -> None:
+        name = order.get("id", "")
+        match order["op"]:
+            case "subscribe":
+                self.out = link
+                self.subscribed = order["seq"]
+                if self.greets:
+                    self.greet()
+            case "launch" if name not in self.runs and name not in self.over:
+                body = b64decode(order["body"])
+                self.launched.append(name)
+                self.bodies[name] = body
+                self.runs[name] = body.decode("ascii", "replace").split()
+                self.work(name, "call" in self.runs[name])
+            case "launch":
+                pass
+            case "freeze" if name in self.runs:
+                self.end(name, "aborted")
+            case "deliver" if name in self.runs:
+                self.replies[name] = b64decode(order["body"])
+                self.work(name, False)
+            case "forgo" if name in self.runs:
+                self.work(name, False)
+            case "sample":
+                used = min(1.0, len(self.runs) / 2)
+                self.tell(op="sampled", tag=order["tag"], values=[used, len(self.runs), 0.1, 1])
+            case kind:
+                self.tell(op="refusal", end=kind, id=name)
+
+    def greet(self) -> None:
+        """Say that the agent is up, and all that was missed."""
+        with self.lock:
+            self.greets = True
+            self.tell(op="greeting", end="seasoned", ms=int((time.time() - self.began) * 1000))
+            for notice in self.notices[self.subscribed :]:
+                self.tell(**notice)
+
+    def work(self, name: str, calls: bool) -> None:
+        words = self.runs[name]
+        if "hold" in words and not calls:
+            return
+        span = next((int(word) for word in words if word.isdigit()), 10) / 1000
+        timer = threading.Timer(span / 2, self.call if calls else self.end, (name,))
+        timer.daemon = True
+        timer.start()
+
+    def call(self, name: str) -> None:
+        with self.lock:
+            if name in self.runs:
+                self.note(op="request", id=name, body=b64encode(b"asked by " + name.encode()).decode())
+
+    def end(self, name: str, how: str = "") -> None:
+        with self.lock:
+            if name not in self.runs:
+                return
+            words = self.runs.pop(name)
+            how = how or ("crashed" if "crash" in words else "done")
+            result = b"made of " + self.bodies.pop(name) + self.replies.pop(name, b"")
+            self.over.add(name)
+            self.note(op="outcome", id=name, end=how, ms=10, body=b64encode(result).decode())
+
+    def note(self, **notice: Any) -> None:
+        notice["seq"] = len(self.notices) + 1
+        self.notices.append(notice)
+        self.tell(**notice)
+
+    def tell(self, **line: Any) -> None:
+        try:
+            if self.out is not None:
+                self.out.sendall(json.dumps(line).encode() + b"\n")
+        except OSError:
+            self.out = None  # told again on the next link
+
+
+class Vault(Peer):
+    """Answers every call with `word`; `silent` answers none."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, word: str = "yes") -> None:
+        self.word = word
+        super().__init__(host, port)
+
+    def serve(self, link: socket.socket) -> None:
+        file = link.makefile("rb")
+        for line in file:
+            words = line.split()
+            self.seen.put(words)
+            if words[0] != b"ask":
+                continue
+            file.read(int(words[3]) + 2)
+            if self.word == "yes":
+                link.sendall(words[1] + b" yes 8\r\n and paid\r\n")
+            elif self.word != "silent":
+                link.sendall(words[1] + b" " + self.word.encode() + b"\r\n")
+
+
+class Catalog(Peer):
+    """Takes reports."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, status: int = 204) -> None:
+        self.status = status
+        super().__init__(host, port)
+
+    def serve(self, link: socket.socket) -> None:
+        file = link.makefile("rb")
+        while first := file.readline():
+            length = 0
+            while (line := file.readline()) not in (b"\r\n", b""):
+                name, _, value = line.partition(b":")
+                length = int(value) if name.lower() == b"content-length" else length
+            self.seen.put((first.split()[1].decode(), json.loads(file.read(length))))
+            link.sendall(f"HTTP/1.1 {self.status} So\r\nContent-Length: 0\r\n\r\n".encode())
+
+
+class Router:
+    """One connection of a router; `answers` waits until all that was asked has been answered."""
+
+    def __init__(self, address: str, patience: float = 10.0) -> None:
+        host, _, port = address.rpartition(":")
+        self.link = socket.create_connection((host, int(port)), patience)
+        self.number = 0
+        self.read = b""
+        self.news: list[Any] = []
+        self.replies: dict[int, tuple[Any, Any]] = {}
+
+    def call(self, profile: str, body: bytes, **fields: str) -> int:
+        """Send one transaction; its number."""
+        self.number += 1
+        usual = {
+            "req": os.urandom(8).hex(),
+            "ts": str(time.time_ns() // 1_000_000),
+            "via": "1",
+            "owner": "blue",
+            "timeout": "3000",
+            "need": "10",
+            "level": "0.5",
+        }
+        self.link.sendall(pack([0, self.number, profile, [usual | fields, body]]))
+        return self.number
+
+    def ping(self) -> int:
+        self.number += 1
+        self.link.sendall(pack([0, self.number, "ping", [{}]]))
+        return self.number
+
+    def abort(self, number: int) -> None:
+        self.link.sendall(pack([2, "abort", [number]]))
+
+    def message(self) -> Any:
+        """The next message; EOFError at the end of the connection."""
+        while True:
+            try:
+                message, end = unpack(memoryview(self.read), 0, len(self.read))
+                self.read = self.read[end:]
+                return message
+            except Incomplete:
+                more = self.link.recv(65536)
+                if not more:
+                    raise EOFError from None
+                self.read += more
+
+    def answer(self, number: int) -> tuple[Any, Any]:
+        """The (error, result) of that transaction; others' are kept."""
+        while number not in self.replies:
+            message = self.message()
+            if message[0] == 1:
+                assert message[1] not in self.replies, "answered twice"
+                self.replies[message[1]] = (message[2], message[3])
+            else:
+                self.news.append(message)
+        return self.replies[number]
+
+
+def peers() -> None:
+    told = json.loads(CONFIGURATION.read_text())
+    for kind, name in ((Agent, "agent"), (Vault, "vault"), (Catalog, "directory")):
+        host, _, port = told[name].rpartition(":")
+        print(f"{kind.__name__.lower()} at {kind(host, int(port)).address}")
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        pass
+
+
+def ask(count: int) -> None:
+    router = Router(json.loads(CONFIGURATION.read_text())["listen"])
+    sent = {}
+    for place in range(count):
+        if place % 3:
+            number = router.call("lookup", b"200 ms", owner="green" if place % 2 else "blue")
+        else:
+            number = router.call("order", b"100 ms call", opkey=os.urandom(16).hex())
+        sent[number] = time.time()
+    for number, began in sent.items():
+        error, result = router.answer(number)
+        took = (time.time() - began) * 1000
+        print(f"{number:4} after {took:5.0f} ms at most: {error or result}")
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["ask"]:
+        ask(int((sys.argv[2:] or ["20"])[0]))
+    else:
+        peers()
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,173 @@
+"""Tasks, timers and passes, on a clock that the test sets and on pipes."""
+
+import os
+import socket
+
+import pytest
+
+from birchslip.net.connection import Connection, Pool, connect
+from birchslip.net.scheduler import READ, SLICE, SWEEP, Scheduler
+
+
+class World:
+    def __init__(self):
+        self.time, self.said, self.faults = 1000, [], []
+        self.scheduler = Scheduler(
+            lambda: self.said.append("settle"), lambda name, why: self.faults.append((name, str(why))), self.clock
+        )
+
+    def clock(self):
+        return self.time
+
+    def pass_at(self, time):
+        self.time = time
+        self.said.clear()
+        self.scheduler.again = True  # look, and don't wait
+        self.scheduler.one_pass()
+        return [word for word in self.said if word != "settle"]
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+@pytest.fixture
+def pipe():
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def test_timers_go_off_in_order_and_each_pass_settles_once(world):
+    for due, word in ((1030, "late"), (1010, "early"), (1010, "early too"), (1020, "dropped")):
+        timer = world.scheduler.at(due, lambda word=word: world.said.append(word))
+        if word == "dropped":
+            timer.cancel()
+            timer.cancel()  # twice is no harm
+    assert world.pass_at(1009) == [] and world.said == ["settle"]
+    assert world.pass_at(1010) == ["early", "early too"] and world.said[-1] == "settle"
+    assert world.pass_at(1100) == ["late"] and not world.scheduler.timers
+
+
+def test_cancelled_timers_do_not_pile_up(world):
+    timers = [world.scheduler.at(9_000_000, lambda: None) for _ in range(SWEEP * 4)]
+    for timer in timers[: SWEEP * 3]:
+        timer.cancel()
+    assert len(world.scheduler.timers) <= SWEEP * 2
+
+
+@pytest.mark.parametrize(("due", "milliseconds"), [(1000, 0), (1001, 1), (1010, 1), (1011, 2), (500, 0)])
+def test_patience_is_rounded_up_to_the_next_timer(world, due, milliseconds):
+    assert world.scheduler.patience() is None
+    world.scheduler.at(due, lambda: None)
+    assert world.scheduler.patience() == milliseconds
+
+
+def test_the_clock_never_goes_back(world):
+    world.pass_at(2000)
+    world.pass_at(1500)
+    assert world.scheduler.now == 2000
+
+
+def test_a_task_waits_for_a_descriptor_or_its_time(world, pipe):
+    def task():
+        for until in (1050, None):
+            world.said.append(world.scheduler.wait(pipe[0], READ, until))
+
+    world.scheduler.spawn("reader", task)
+    assert world.pass_at(1000) == []
+    assert world.pass_at(1050) == [0]
+    os.write(pipe[1], b"x")
+    assert world.pass_at(1060) == [READ]
+    assert world.pass_at(1070) == [] and pipe[0] not in world.scheduler.masks  # nobody waits: left out
+
+
+def test_a_fault_ends_its_task_alone(world):
+    world.scheduler.spawn("bad", lambda: 1 // 0)
+    world.scheduler.at(1000, lambda: [][1])
+    world.scheduler.spawn("good", lambda: world.said.append("good"))
+    assert world.pass_at(1000) == ["good"]
+    assert [why for _, why in world.faults] == ["list index out of range", "integer division or modulo by zero"]
+
+
+def test_due_times_come_before_more_reading(world):
+    """Guards against ticks and limits that run late because many connections have much to say."""
+
+    def reader(word):
+        world.said.append(word)
+        world.time += SLICE
+
+    for word in ("first", "second", "third"):
+        world.scheduler.spawn(word, lambda word=word: reader(word))
+    world.scheduler.at(1000 + SLICE, lambda: world.said.append("due"))
+    assert world.pass_at(1000) == ["first"]
+    assert world.pass_at(world.time) == ["due", "second"]
+    assert world.pass_at(world.time) == ["third"]
+
+
+def test_forgetting_a_descriptor_wakes_who_waits_for_it(world, pipe):
+    world.scheduler.spawn("reader", lambda: world.said.append(world.scheduler.wait(pipe[0], READ)))
+    world.pass_at(1000)
+    world.scheduler.forget(pipe[0])
+    assert world.pass_at(1001) == [0] and not world.scheduler.masks
+
+
+def pair(world, bound=1 << 20, pool=1 << 20):
+    here, there = socket.socketpair()
+    here.setblocking(False)
+    there.setblocking(False)
+    return Connection(world.scheduler, here, 4096, bound, Pool(pool)), there
+
+
+def test_writes_go_out_once_at_the_end_of_a_pass_and_the_rest_when_there_is_room(world):
+    connection, there = pair(world)
+    world.scheduler.spawn("connection", lambda: connection.serve(lambda buffer: None))
+    world.pass_at(1000)
+    sent = [bytes([place]) * 10_000 for place in range(60)]
+    for piece in sent:
+        connection.write(piece)
+    with pytest.raises(BlockingIOError):
+        there.recv(1)
+    got = b""
+    while len(got) < 600_000:
+        world.pass_at(1001)
+        got += there.recv(1 << 20)
+    assert got == b"".join(sent) and connection.size == 0 and connection.pool.size == 0
+
+
+@pytest.mark.parametrize(("bound", "pool"), [(1000, 1 << 30), (1 << 30, 1000)])
+def test_a_peer_that_reads_too_slowly_is_cut_off(world, bound, pool):
+    connection, there = pair(world, bound, pool)
+    world.scheduler.spawn("connection", lambda: world.said.append(connection.serve(lambda buffer: None)))
+    world.pass_at(1000)
+    for _ in range(100):
+        connection.write(b"x" * 100_000)
+    world.pass_at(1001)
+    assert world.pass_at(1002) == ["reads too slowly"] and connection.pool.size == 0
+    there.close()
+
+
+def test_too_much_that_is_not_a_message_closes_the_connection(world):
+    connection, there = pair(world)
+    world.scheduler.spawn("connection", lambda: world.said.append(connection.serve(lambda buffer: None)))
+    there.send(b"x" * 4096)
+    said = [word for time in range(1000, 1010) for word in world.pass_at(time)]
+    assert said == ["4096 bytes read and not a whole message"] and connection.malformed
+
+
+def test_a_refused_connection_is_an_error_of_its_task_alone(world):
+    free = socket.create_server(("127.0.0.1", 0))
+    address = free.getsockname()
+    free.close()
+
+    def task():
+        try:
+            connect(world.scheduler, address)
+        except OSError:
+            world.said.append("refused")
+
+    world.scheduler.spawn("peer", task)
+    said = [word for time in range(1000, 1010) for word in world.pass_at(time)]
+    assert said == ["refused"] and not world.scheduler.masks
