--- a/birchslip/net/buffer.py
+++ b/birchslip/net/buffer.py
@@ -8,8 +8,8 @@
 ROOM = 1024  # a read finds at least so much room
 
 
-class Overflow(Exception):
-    """What has been read and not taken fills the buffer to its bound."""
+class Unreadable(ValueError):
+    """What a peer has sent can't be read, or not within this program's limits: its connection is closed."""
 
 
 class Buffer:
@@ -53,7 +53,7 @@
         if len(self.data) - self.end < room and len(self.data) < self.bound:
             self.data.extend(bytes(min(max(len(self.data), room), self.bound - len(self.data))))
         if len(self.data) == self.end:
-            raise Overflow(f"{held} bytes read and not a whole message")
+            raise Unreadable(f"{held} bytes read and not a whole message")
 
     def skip(self, count: int) -> None:
         self.start += count
@@ -72,10 +72,10 @@
         if place < 0:
             self.looked = self.end - self.start
             if self.looked > longest:
-                raise Overflow(f"a line of more than {longest} bytes")
+                raise Unreadable(f"a line of more than {longest} bytes")
             return None
         if place - self.start > longest + 1:
-            raise Overflow(f"a line of more than {longest} bytes")
+            raise Unreadable(f"a line of more than {longest} bytes")
         line = self.take(place - self.start)
         self.skip(1)
         return line.removesuffix(b"\r")
--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -9,7 +9,7 @@
 from urllib.parse import quote
 
 from . import http
-from .buffer import Buffer, Overflow
+from .buffer import Buffer
 from .connection import Connection, connect
 from .counters import Counters
 from .log import Log
@@ -43,7 +43,7 @@
                 self.report()
                 self.counters.count("catalog.reports")
                 wait = EVERY
-            except (OSError, Overflow, http.Unreadable) as trouble:
+            except OSError as trouble:
                 self.counters.count("catalog.failed")
                 self.log.fault("report to the catalog failed", why=str(trouble))
                 self.drop()
@@ -51,7 +51,7 @@
             self.scheduler.sleep(max(self.scheduler.now + AGAIN, began + wait))
 
     def report(self) -> None:
-        """One report and its answer; OSError, Overflow or Unreadable say why it failed."""
+        """One report and its answer; OSError says why it failed."""
         limit = self.scheduler.now + LIMIT
         if self.link is not None and self.hung_up(self.link):
             self.drop()
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -8,25 +8,45 @@
 from collections.abc import Callable
 from typing import Any
 
-from .buffer import Buffer, Overflow
-from .connection import Connection
+from .buffer import Buffer, Unreadable
+from .connection import Connection, Pool
 from .counters import Counters
 from .log import Log
-from .messagepack import Incomplete, Unreadable, pack, unpack
+from .messagepack import Incomplete, pack, unpack
 from .passage import Passage
 from .scheduler import READ, Scheduler
 
 CALL, REPLY, NEWS = 0, 1, 2  # types of message
 REFUSED, FAILED = "Overloaded", "Failed"
 OPEN_MOST = 32  # open transactions on one connection
-BOUND_IN = 65_536  # bytes of a connection's messages not yet taken
+BOUND_IN = 32_768  # bytes of a connection's messages not yet taken
 BOUND_OUT = OPEN_MOST * 5_120  # as many answers of the largest size
+POOL = 48 << 20  # bytes of answers that wait on all connections together
 BACKLOG = 1024
 PEERS_KEEP = 32  # descriptors kept for the other peers, the log and the signals
 NO_ROOM_WAIT = 1_000  # accepting rests 100 ms when the system has no descriptor left
+IDLE_EVERY = 2_500  # while idle ones are to close, they are looked for four times a second
 SPARE = 20_000  # a connection told that it closes is closed here after two seconds, if nothing is open on it
 
 
+def messages(buffer: Buffer) -> tuple[list[Any], str]:
+    """All whole messages that have been read, and what is wrong behind them; what is cut off is left."""
+    whole = []
+    trouble = ""
+    with memoryview(buffer.data) as view:
+        at = buffer.start
+        try:
+            while at < buffer.end:
+                message, at = unpack(view, at, buffer.end)
+                whole.append(message)
+        except Incomplete:
+            pass
+        except Unreadable as why:
+            trouble = str(why)
+    buffer.skip(at - buffer.start)
+    return whole, trouble
+
+
 class Client:
     """One router's connection."""
 
@@ -37,26 +57,12 @@
         self.closing = False
 
     def take(self, buffer: Buffer) -> None:
-        """All whole messages that have been read; what is cut off waits for the next read."""
-        messages = []
-        trouble = ""
-        with memoryview(buffer.data) as view:
-            at = buffer.start
-            try:
-                while at < buffer.end:
-                    message, at = unpack(view, at, buffer.end)
-                    messages.append(message)
-            except Incomplete:
-                pass
-            except Unreadable as why:
-                trouble = str(why)
-        buffer.skip(at - buffer.start)
-        for message in messages:
-            if not self.connection.open:
-                return
+        self.clients.moved(self)
+        whole, trouble = messages(buffer)
+        for message in whole:
             self.message(message)
         if trouble:
-            self.malformed(trouble)
+            raise Unreadable(trouble)
 
     def message(self, message: Any) -> None:
         match message:
@@ -77,14 +83,9 @@
             case [2, str(), list()]:
                 self.clients.counters.count("clients.unknown_news")
             case [0, int(), *_]:
-                self.malformed(f"a call numbered {message[1]} after {self.highest}, or of a wrong form")
+                raise Unreadable(f"a call numbered {message[1]} after {self.highest}, or of a wrong form")
             case _:
-                self.malformed("a message of no known form")
-
-    def malformed(self, why: str) -> None:
-        self.clients.counters.count("clients.malformed")
-        self.clients.log.fault("malformed input from a router, its connection is closed", why=why)
-        self.connection.close("malformed")
+                raise Unreadable("a message of no known form")
 
     # ---- answers -------------------------------------------------------------------------------------------
 
@@ -125,8 +126,9 @@
         self.all: OrderedDict[Client, None] = OrderedDict()
         self.good = True
         self.idle = 0
+        self.looking = False
+        self.pool = Pool(POOL)
         self.listener: socket.socket | None = None
-        self.full = False
         self.take_in: Callable[[Client, int, str, list[Any]], None]
         self.gone: Callable[[Passage], None]
         self.emptied: Callable[[], None]
@@ -142,7 +144,6 @@
         while self.listener is not None:
             if len(self.all) >= self.most:
                 # Left unaccepted, they wait in the system's queue until a connection ends.
-                self.full = True
                 self.scheduler.forget(self.listener.fileno())
                 self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
                 continue
@@ -168,7 +169,7 @@
             self.begin(sock)
 
     def begin(self, sock: socket.socket) -> None:
-        client = Client(self, Connection(self.scheduler, sock, BOUND_IN, BOUND_OUT))
+        client = Client(self, Connection(self.scheduler, sock, BOUND_IN, BOUND_OUT, self.pool))
         self.all[client] = None
         self.counters.count("clients.opened")
         self.counters.peak("clients.connections", len(self.all))
@@ -177,9 +178,12 @@
     def serve(self, client: Client) -> None:
         why = "a fault"
         try:
-            why = client.connection.serve(lambda buffer: self.taken(client, buffer))
+            why = client.connection.serve(client.take)
         finally:
             client.connection.close(why)
+            if client.connection.malformed:
+                self.counters.count("clients.malformed")
+                self.log.fault("malformed input from a router, its connection is closed", why=why)
             del self.all[client]
             self.counters.count("clients.closed")
             for passage in list(client.open.values()):
@@ -188,23 +192,25 @@
             if not self.all:
                 self.emptied()
 
-    def taken(self, client: Client, buffer: Buffer) -> None:
-        self.moved(client)
-        try:
-            client.take(buffer)
-        except Overflow as why:
-            client.malformed(str(why))
-
     def moved(self, client: Client) -> None:
         if client in self.all:
             self.all.move_to_end(client)
 
     # ---- closing -------------------------------------------------------------------------------------------
 
+    def set_idle(self, span: int) -> None:
+        """Connections that carry nothing for so long are told to close; 0 leaves that to the routers."""
+        self.idle = span
+        if span and not self.looking:
+            self.looking = True
+            self.close_idle()
+
     def close_idle(self) -> None:
         """Those at the head have carried nothing for the longest time."""
         if not self.idle:
+            self.looking = False
             return
+        self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.close_idle)
         for client in list(self.all):
             if client.connection.last > self.scheduler.now - self.idle:
                 return
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -6,18 +6,34 @@
 from collections import deque
 from collections.abc import Callable
 
-from .buffer import Buffer
+from .buffer import Buffer, Unreadable
 from .scheduler import ENDED, READ, WRITE, Scheduler
 
 PIECES = 64  # gathered into one send
 CONNECT_LIMIT = 10_000  # a connection that takes longer than a second to open is taken as refused
 
 
+class Pool:
+    """What waits to go out on many connections together, bounded as well."""
+
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self.size = 0
+
+
 class Connection:
     """`unsent` holds what is to go out, up to `bound` bytes; past it the peer reads too slowly: cut off."""
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket, bound_in: int, bound_out: int) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sock: socket.socket,
+        bound_in: int,
+        bound_out: int,
+        pool: Pool | None = None,
+    ) -> None:
         self.scheduler, self.sock, self.bound = scheduler, sock, bound_out
+        self.pool = pool or Pool(bound_out)
         self.descriptor = sock.fileno()
         self.buffer = Buffer(bound_in)
         self.unsent: deque[bytes] = deque()
@@ -25,6 +41,7 @@
         self.open = True
         self.flushing = False
         self.why = ""
+        self.malformed = False
         self.last = scheduler.now  # when something last went either way
 
     def serve(self, take: Callable[[Buffer], None], idle: int = 0, keep: Callable[[], bool] = bool) -> str:
@@ -48,6 +65,14 @@
         return self.why
 
     def read(self, take: Callable[[Buffer], None]) -> None:
+        """One read; what it holds that can't be read closes this connection, and no other."""
+        try:
+            self.read_once(take)
+        except Unreadable as trouble:
+            self.malformed = True
+            self.close(str(trouble))
+
+    def read_once(self, take: Callable[[Buffer], None]) -> None:
         try:
             count = self.buffer.fill(self.sock)
         except (BlockingIOError, InterruptedError):
@@ -66,7 +91,7 @@
         if not self.open:
             return
         self.unsent.append(piece)
-        self.size += len(piece)
+        self.grow(len(piece))
         if not self.flushing:
             self.flushing = True
             self.scheduler.at_end(self.flush)
@@ -83,18 +108,22 @@
                 self.close(trouble.strerror or "broken")
                 return
             self.last = self.scheduler.now
-            self.size -= sent
+            self.grow(-sent)
             while sent:
                 piece = self.unsent.popleft()
                 if sent < len(piece):
                     self.unsent.appendleft(piece[sent:])
                     break
                 sent -= len(piece)
-        if self.size > self.bound:
+        if self.size > self.bound or (self.unsent and self.pool.size > self.pool.bound):
             self.close("reads too slowly")
         elif self.open:
             self.scheduler.widen(self.descriptor, self.mask())
 
+    def grow(self, more: int) -> None:
+        self.size += more
+        self.pool.size += more
+
     def mask(self) -> int:
         return READ | WRITE if self.unsent else READ
 
@@ -102,6 +131,7 @@
         if self.open:
             self.open, self.why = False, why
             self.unsent.clear()
+            self.grow(-self.size)
             self.scheduler.forget(self.descriptor)
             self.sock.close()
 
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -8,7 +8,7 @@
 STORY = (
     "clients.opened clients.closed clients.refused clients.pings clients.malformed clients.errors "
     "take_in.taken admit.repeats book.honoured book.failed book.shed book.written_off book.gone book.faults "
-    "send.launched send.stopped send.done send.crashed send.aborted send.stale "
+    "send.launched send.stopped send.honoured send.erred send.recalled send.moot "
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.refusals agent.asides agent.malformed agent.samples "
--- a/birchslip/net/http.py
+++ b/birchslip/net/http.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from .buffer import Buffer
+from .buffer import Buffer, Unreadable
 
 LONGEST = 4096  # of a line
 MOST = 64  # lines of a head
 LARGEST = 65_536  # of an answer's body, which is passed over
 
 
-class Unreadable(ValueError):
-    """Not an answer that this program reads; the connection is of no further use."""
-
-
 def call(verb: str, path: str, host: str, body: bytes) -> bytes:
     head = f"{verb} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
--- a/birchslip/net/log.py
+++ b/birchslip/net/log.py
@@ -23,15 +23,15 @@
         self.scheduler, self.descriptor = scheduler, descriptor
         self.lines: deque[bytes] = deque()
         self.dropped = 0
-        self.idle = False
+        self.busy = False
 
     def msg(self, text: str) -> None:
         if len(self.lines) >= KEPT:
             self.dropped += 1
             return
         self.lines.append(text.replace("\n", "\\n").encode()[: LINE - 1] + b"\n")
-        if not self.idle:
-            self.idle = True
+        if not self.busy:
+            self.busy = True
             self.scheduler.spawn("log", self.drain)
 
     def drain(self) -> None:
@@ -42,7 +42,7 @@
                 break
             self.write_one()
         self.scheduler.forget(self.descriptor)
-        self.idle = False
+        self.busy = False
 
     def write_one(self) -> None:
         try:
--- a/birchslip/net/messagepack.py
+++ b/birchslip/net/messagepack.py
@@ -5,6 +5,8 @@
 import struct
 from typing import Any
 
+from .buffer import Unreadable
+
 DEEPEST = 8
 LONGEST = 16_384  # of a string or of bytes
 WIDEST = 64  # items of an array or a map
@@ -14,10 +16,6 @@
     """The value goes on past what has been read."""
 
 
-class Unreadable(ValueError):
-    """Not MessagePack, or past the limits of this program."""
-
-
 FIXED = {
     0xCA: struct.Struct(">f"),
     0xCB: struct.Struct(">d"),
@@ -162,7 +160,7 @@
         return (value & 0xFF).to_bytes(1, "big")
     for first in (0xCC, 0xCD, 0xCE, 0xCF) if value > 0 else (0xD0, 0xD1, 0xD2, 0xD3):
         form = FIXED[first]
-        if (value.bit_length() + (value < 0)) <= form.size * 8:
+        if ((~value).bit_length() + 1 if value < 0 else value.bit_length()) <= form.size * 8:
             return bytes((first,)) + form.pack(value)
     raise OverflowError(f"{value} has no form here")
 
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -30,7 +30,6 @@
 
 SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
 END_AHEAD = 500  # all is closed 50 ms before the process would be killed
-IDLE_EVERY = 2_500  # connections are looked through for idle ones four times a second
 
 
 class Phase(Enum):
@@ -54,6 +53,7 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self.phase = Phase.STARTING
+        self.last_moment = 0
         self.scheduler = Scheduler(self.settle, self.fault)
         self.log = Log(self.scheduler, site.name)
         self.counters = Counters()
@@ -75,15 +75,14 @@
         # who hears whom
         self.clients.take_in, self.clients.gone = self.take_in, self.gone
         self.clients.emptied = self.scheduler.soon
-        self.take_in.admit, self.take_in.known = self.admit.arrive, self.agent.runs.__contains__
+        self.take_in.admit = self.admit.arrive
         self.admit.carry, self.admit.tell = self.route.carry, self.tell
         self.admit.unready, self.admit.fault = self.book.shed, self.book.fault
-        self.agent.greeted, self.agent.noticed, self.agent.doubt = (
-            self.greeted,
-            self.send.noticed,
-            self.send.doubt,
-        )
-        self.vault.ended = self.relay.ended
+        guarded = self.book.guarded
+        self.agent.greeted, self.agent.wanted = self.greeted, guarded(self.relay.wanted)
+        self.agent.ended, self.agent.doubt = guarded(self.send.ended), guarded(self.send.doubt)
+        self.vault.ended = guarded(self.relay.ended)
+        self.relay.guarded_overdue = guarded(self.relay.overdue)
         self.signals, self.wakeup = socket.socketpair()
 
     # ---- phases --------------------------------------------------------------------------------------------
@@ -101,11 +100,10 @@
         self.scheduler.spawn("signals", self.take_signals)
         self.scheduler.spawn("agent", self.agent.keep_link)
         self.scheduler.spawn("catalog", self.catalog.keep_reporting)
-        self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.look_for_idle)
         try:
             self.scheduler.run()
         finally:
-            self.log.info("counters", **self.counters.report())
+            self.report()
             self.log.sink.finish()
 
     def greeted(self, cold: bool, began: int) -> None:
@@ -130,12 +128,20 @@
         self.scheduler.at(end - END_AHEAD, self.close)
 
     def close(self) -> None:
-        """Nothing more is owed, or the time is up: what is written goes out at the end of this pass."""
+        """Nothing more is owed, or the time is up: what has no answer yet is written off."""
         if self.phase in (Phase.STARTING, Phase.DRAINING):
             self.move(Phase.CLOSING)
+            for client in list(self.clients.all):
+                for passage in list(client.open.values()):
+                    self.book.write_off(passage)
+            self.last_moment = self.scheduler.now + END_AHEAD // 2
             self.scheduler.at(self.scheduler.now, self.end)
 
     def end(self) -> None:
+        """As soon as nothing waits to go out, or at the last moment."""
+        if self.clients.pool.size and self.scheduler.now < self.last_moment:
+            self.scheduler.at(self.scheduler.now + 10, self.end)
+            return
         self.clients.close_all()
         self.move(Phase.ENDED)
         self.scheduler.stop()
@@ -165,10 +171,15 @@
                 continue
             for number in numbers:
                 if number == signal.SIGUSR1:
-                    self.log.info("counters", **self.counters.report())
+                    self.report()
                 elif number in (signal.SIGTERM, signal.SIGINT):
                     self.leave()
 
+    def report(self) -> None:
+        """The counters, on request and at exit."""
+        memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        self.log.info("counters", **self.counters.report(), memory_kb=memory)
+
     # ---- what concerns the whole app server ----------------------------------------------------------------
 
     def tell(self, notice: Notice) -> None:
@@ -179,7 +190,7 @@
             case Health(good):
                 self.clients.good = good
             case Idle(span):
-                self.clients.idle = span
+                self.clients.set_idle(span)
             case Remark(text):
                 self.log.info("decisions", text=text)
 
@@ -189,10 +200,6 @@
     def passing(self) -> bool:
         return self.clients.good and self.phase in (Phase.STARTING, Phase.SERVING)
 
-    def look_for_idle(self) -> None:
-        self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.look_for_idle)
-        self.clients.close_idle()
-
     def gone(self, passage: Passage) -> None:
         self.relay.drop(passage)
         self.book.gone(passage)
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -10,9 +10,11 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-from .buffer import Buffer, Overflow
+from ..interface import Outcome
+from .buffer import Buffer, Unreadable
 from .connection import Connection, connect
 from .counters import Counters
 from .log import Log
@@ -24,10 +26,32 @@
 WAIT_FIRST, WAIT_MOST = 200, 10_000  # before the next try at the link: 20 ms at first, a second at most
 STALE = 5_000  # gauges older than half a second say nothing
 RESTART = 20_000  # an agent that began two seconds later than it had said has been started anew
+STARTS = {"fresh": True, "seasoned": False}  # whether it is cold
+OUTCOMES = {
+    "done": Outcome.HONOURED,
+    "crashed": Outcome.ERRED,
+    "aborted": Outcome.RECALLED,
+    "stale": Outcome.MOOT,
+}
+
+
+def span(milliseconds: Any) -> int:
+    return int(float(milliseconds) * 10)
+
+
+def whole(told: dict[str, Any]) -> int:
+    number = told["seq"]
+    if not isinstance(number, int) or number < 1:
+        raise ValueError(f"a notice numbered {str(number)[:40]!r}")
+    return number
+
+
+def body(told: dict[str, Any]) -> bytes:
+    return b64decode(told.get("body") or "", validate=True)
 
 
 class Agent:
-    """`greeted` hears of the agent's age, `noticed` of each notice, `doubt` of what missing notices leave."""
+    """`greeted` hears of its start, `wanted` of calls, `ended` of outcomes, `doubt` of what is unknown."""
 
     def __init__(
         self, scheduler: Scheduler, counters: Counters, log: Log, address: tuple[str, int], gauges: list[str]
@@ -44,7 +68,8 @@
         self.values_at = 0
         self.runs: dict[str, Passage] = {}
         self.greeted: Callable[[bool, int], None]
-        self.noticed: Callable[[str, Passage, dict[str, Any], bytes], None]
+        self.wanted: Callable[[Passage, int, bytes], None]
+        self.ended: Callable[[Passage, Outcome, bytes, int], None]
         self.doubt: Callable[[Passage], None]
 
     # ---- orders --------------------------------------------------------------------------------------------
@@ -57,15 +82,15 @@
 
     def launch(self, passage: Passage) -> None:
         self.runs[passage.name] = passage
-        body = b64encode(passage.body).decode()
-        passage.order = self.order(op="launch", id=passage.name, **{"class": passage.profile}, body=body)
+        coded = b64encode(passage.body).decode()
+        passage.order = self.order(op="launch", id=passage.name, **{"class": passage.profile}, body=coded)
 
     def freeze(self, passage: Passage) -> None:
-        passage.order = self.order(op="freeze", id=passage.name)
+        # Behind a launch that may not have reached the agent: both are given again then.
+        passage.order += self.order(op="freeze", id=passage.name)
 
     def deliver(self, passage: Passage, reply: bytes) -> None:
-        body = b64encode(reply).decode()
-        passage.order = self.order(op="deliver", id=passage.name, body=body)
+        passage.order = self.order(op="deliver", id=passage.name, body=b64encode(reply).decode())
 
     def forgo(self, passage: Passage) -> None:
         passage.order = self.order(op="forgo", id=passage.name, seq=passage.need)
@@ -94,6 +119,8 @@
                 continue
             heard = self.last
             why = self.serve(link)
+            if link.malformed:
+                self.counters.count("agent.malformed")
             self.counters.count("agent.lost")
             self.log.fault("link to the agent lost", why=why, last=self.last, runs=len(self.runs))
             wait = WAIT_FIRST if self.last > heard or self.settled else min(2 * wait, WAIT_MOST)
@@ -110,76 +137,86 @@
             link.close("a fault")
 
     def take(self, link: Connection, buffer: Buffer) -> None:
-        try:
-            while link.open and (line := buffer.line(LINE)) is not None:
-                self.line(line)
-        except (Overflow, ValueError, TypeError, KeyError, RecursionError) as trouble:
-            self.counters.count("agent.malformed")
-            self.log.fault("malformed line from the agent", why=f"{type(trouble).__name__}: {trouble}")
-            link.close("malformed line")
-
-    def line(self, line: bytes) -> None:
+        while link.open and (line := buffer.line(LINE)) is not None:
+            try:
+                act = self.read(line)
+            except (ValueError, TypeError, KeyError, RecursionError) as trouble:
+                raise Unreadable(f"{type(trouble).__name__}: {trouble}") from None
+            act()
+
+    def read(self, line: bytes) -> Callable[[], None]:
+        """What a line asks for, its parts checked; nothing has been done when it turns out malformed."""
         told = json.loads(line)
-        if not isinstance(told, dict):
-            raise ValueError("not an object")
-        match told.get("op"):
+        match told["op"]:
             case "greeting":
-                self.greeting(str(told["end"]), float(told["ms"]))
-            case "outcome" | "request" | "aside" as kind:
-                self.notice(kind, told)
+                return partial(self.greeting, STARTS[told["end"]], span(told["ms"]))
             case "sampled":
-                self.sampled(str(told["tag"]), told["values"])
+                return partial(self.sampled, str(told["tag"]), [float(value) for value in told["values"]])
             case "refusal":
-                self.counters.count("agent.refusals")
-                self.log.fault("the agent refused an order", order=told.get("end"), id=told.get("id"))
+                return partial(self.refused, str(told.get("end"))[:40], str(told.get("id"))[:40])
+            case "aside":
+                act = partial(self.aside, str(told.get("end"))[:200])
+                return partial(self.notice, whole(told), None, act)
+            case "request":
+                act = partial(self.request, str(told["id"]), whole(told), body(told))
+                return partial(self.notice, whole(told), str(told["id"]), act)
+            case "outcome":
+                outcome, elapsed = OUTCOMES[told["end"]], span(told["ms"])
+                act = partial(self.outcome, str(told["id"]), outcome, body(told), elapsed)
+                return partial(self.notice, whole(told), str(told["id"]), act)
             case unknown:
                 raise ValueError(f"op {str(unknown)[:40]!r}")
 
-    def greeting(self, state: str, age: float) -> None:
-        if state not in ("fresh", "seasoned"):
-            raise ValueError(f"a start of {state[:40]!r}")
-        began = self.scheduler.now - max(0, int(age * 10))
+    def refused(self, order: str, name: str) -> None:
+        self.counters.count("agent.refusals")
+        self.log.fault("the agent refused an order", order=order, id=name)
+
+    def greeting(self, cold: bool, age: int) -> None:
+        began = self.scheduler.now - max(0, age)
         if self.began is None:
-            self.greeted(state == "fresh", began)
+            self.greeted(cold, began)
         elif began > self.began + RESTART:
             self.log.fault("the agent was started anew: its runs are gone")
-            self.gap = True
+            self.gap, self.last = True, 0
         self.began = began
         self.fences += 1
         if self.link is not None:
             tag = f"fence-{self.fences}"
             self.link.write(json.dumps({"op": "sample", "tag": tag}).encode() + b"\n")
 
-    def notice(self, kind: str, told: dict[str, Any]) -> None:
-        number = told["seq"]
-        if not isinstance(number, int):
-            raise ValueError("a notice without a number")
+    def notice(self, number: int, name: str | None, act: Callable[[], None]) -> None:
+        """Each notice is taken once, in its turn."""
         if number <= self.last:
             return
-        body = b64decode(told.get("body") or "", validate=True)
         if number > self.last + 1:
             self.counters.count("agent.gaps")
             self.log.fault("notices are missing", last=self.last, next=number)
             self.gap = True
         self.last = number
-        if kind == "aside":
-            self.counters.count("agent.asides")
-            self.log.fault("remark of the agent", text=str(told.get("end"))[:200])
-            return
-        passage = self.runs.get(str(told["id"]))
-        if passage is None:
+        if name is None or name in self.runs:
+            act()
+        else:
             self.counters.count("agent.unknown")
-            return
+
+    def aside(self, text: str) -> None:
+        self.counters.count("agent.asides")
+        self.log.fault("remark of the agent", text=text)
+
+    def request(self, name: str, number: int, body: bytes) -> None:
+        passage = self.runs[name]
+        passage.order = b""
+        self.wanted(passage, number, body)
+
+    def outcome(self, name: str, outcome: Outcome, result: bytes, elapsed: int) -> None:
+        passage = self.runs.pop(name)
         passage.order = b""
-        if kind == "outcome":
-            del self.runs[passage.name]
-        self.noticed(kind, passage, told, body)
+        self.ended(passage, outcome, result, elapsed)
 
-    def sampled(self, tag: str, values: list[Any]) -> None:
+    def sampled(self, tag: str, values: list[float]) -> None:
         if tag == f"fence-{self.fences}":
             self.resume()
         self.counters.count("agent.samples")
-        self.values = {name: float(value) for name, value in zip(self.gauges, values, strict=False)}
+        self.values = dict(zip(self.gauges, values, strict=False))
         self.values_at = self.scheduler.now
 
     def resume(self) -> None:
--- a/birchslip/net/stages/book.py
+++ b/birchslip/net/stages/book.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import traceback
+from collections.abc import Callable
+from typing import Any
 
 from ...interface import Ended, Gone, Outcome
 from ..clients import FAILED, REFUSED
@@ -82,6 +84,17 @@
 
     # ---- trouble -------------------------------------------------------------------------------------------
 
+    def guarded(self, stage: Callable[..., None]) -> Callable[..., None]:
+        """The stage, with a fault in it kept to its transaction, which is the first argument."""
+
+        def run(passage: Passage, *more: Any) -> None:
+            try:
+                stage(passage, *more)
+            except Exception as trouble:
+                self.fault(passage, trouble)
+
+        return run
+
     def fault(self, passage: Passage, trouble: Exception) -> None:
         """An exception in its stages: it alone is written off, and the program goes on."""
         self.counters.count("book.faults")
--- a/birchslip/net/stages/relay.py
+++ b/birchslip/net/stages/relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ...interface import CallEnded, NeedsCall, Outcome
 from ..counters import Counters
 from ..passage import Passage
@@ -17,6 +19,7 @@
     ) -> None:
         self.scheduler, self.counters = scheduler, counters
         self.agent, self.vault, self.admit = agent, vault, admit
+        self.guarded_overdue: Callable[[Passage], None] = self.overdue
 
     def wanted(self, passage: Passage, notice: int, body: bytes) -> None:
         self.counters.count("relay.wanted")
@@ -27,7 +30,7 @@
         self.counters.count("relay.called")
         now = self.scheduler.now
         passage.calling, passage.call_at = True, now
-        passage.call_timer = self.scheduler.at(now + limit, lambda: self.overdue(passage))
+        passage.call_timer = self.scheduler.at(now + limit, lambda: self.guarded_overdue(passage))
         self.vault.ask(passage, max(1, limit // 10), passage.need_body)
 
     def skip(self, passage: Passage) -> None:
--- a/birchslip/net/stages/send.py
+++ b/birchslip/net/stages/send.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from ...interface import Ended, Outcome
 from ..counters import Counters
 from ..labels import Labels
@@ -14,13 +12,6 @@
 from .book import Book
 from .relay import Relay
 
-ENDS = {
-    "done": Outcome.HONOURED,
-    "crashed": Outcome.ERRED,
-    "aborted": Outcome.RECALLED,
-    "stale": Outcome.MOOT,
-}
-
 
 class Send:
     def __init__(
@@ -43,6 +34,10 @@
             self.log.fault("a second run of a label was asked for and not made", id=passage.name)
             self.book.attach(passage, passage.label.ran if passage.label is not None else None)
             return
+        if passage.name in self.agent.runs:
+            self.log.fault("an id that runs already", id=passage.name)
+            self.ended(passage, Outcome.ERRED, b"", 0)
+            return
         passage.running = True
         self.counters.count("send.launched")
         self.counters.peak("send.running", len(self.agent.runs) + 1)
@@ -53,23 +48,13 @@
             self.counters.count("send.stopped")
             self.agent.freeze(passage)
 
-    def noticed(self, kind: str, passage: Passage, told: dict[str, Any], body: bytes) -> None:
-        """A notice of the agent about one that runs."""
-        if kind == "request":
-            self.relay.wanted(passage, told["seq"], body)
-            return
-        end = told["end"]
-        if end not in ENDS:
-            raise ValueError(f"an outcome of {str(end)[:40]!r}")
-        self.counters.count(f"send.{end}")
-        self.ended(passage, ENDS[end], body, int(float(told.get("ms", 0)) * 10))
-
     def doubt(self, passage: Passage) -> None:
         """How its run ended can't be known any more."""
-        self.counters.count("send.unknown")
+        self.log.fault("how a run ended can't be known", id=passage.name)
         self.ended(passage, Outcome.RECALLED, b"", 0)
 
     def ended(self, passage: Passage, outcome: Outcome, result: bytes, elapsed: int) -> None:
+        self.counters.count(f"send.{outcome.value}")
         passage.running = False
         self.relay.drop(passage)
         conclusion = Conclusion(outcome, result)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 from math import ceil
 from typing import Any
 
 from ...deployment import Malformed, number, whole
 from ...interface import Deployment, Kind, Tenant, Transaction
-from ..clients import Client
+from ..clients import FAILED, Client
 from ..counters import Counters
 from ..log import Log
 from ..passage import Passage
@@ -34,7 +35,6 @@
         self.profiles = dict(zip(profiles, deployment.profiles, strict=True))
         self.tenants = dict(zip(tenants, deployment.tenants, strict=True))
         self.admit: Callable[[Passage], None]
-        self.known: Callable[[str], bool]
 
     def __call__(self, client: Client, number_there: int, profile: str, params: list[Any]) -> None:
         try:
@@ -44,6 +44,11 @@
             self.log.fault("a transaction that can't be taken in", why=str(trouble))
             client.answer_error(number_there, str(trouble))
             return
+        except Exception as trouble:
+            self.counters.count("book.faults")
+            self.log.fault("a fault in taking in", trace="".join(traceback.format_exception(trouble))[-1500:])
+            client.answer_error(number_there, FAILED)
+            return
         self.counters.count("take_in.taken")
         client.open[number_there] = passage
         self.admit(passage)
@@ -63,8 +68,6 @@
         request = self.field(fields, "req")
         if len(request) != 16 or not HEX.issuperset(request):
             raise Malformed("req is not 16 hexadecimal digits")
-        if self.known(request):
-            raise Malformed("req is that of another transaction")
         label = ""
         if profile.kind is Kind.LABELLED:
             label = self.field(fields, "opkey")
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..interface import Outcome
-from .buffer import Buffer, Overflow
+from .buffer import Buffer, Unreadable
 from .connection import Connection, connect
 from .counters import Counters
 from .log import Log
@@ -15,6 +15,7 @@
 LINE = 256
 REPLY = 65_536  # the largest reply read
 BOUND_OUT = 4 << 20
+WAIT_FIRST, WAIT_MOST = 100, 2_000  # between tries at a vault that is down: 10 ms at first, 200 ms at most
 IDLE = 80_000  # closed here after eight seconds without a call, before the vault does after ten
 OUTCOMES = {
     b"yes": Outcome.HONOURED,
@@ -25,6 +26,20 @@
 }
 
 
+def reply_line(line: bytes) -> tuple[str, bytes, int]:
+    """`ID yes LENGTH` or `ID WORD`: the id, the word, and the length of the reply that follows."""
+    match line.split(b" "):
+        case [name, b"yes", length] if length.isdigit() and len(length) <= 6 and int(length) <= REPLY:
+            size = int(length)
+        case [name, (b"notnow" | b"failed" | b"overdue" | b"pointless")]:
+            size = 0
+        case _:
+            raise Unreadable(f"not a reply: {line[:80]!r}")
+    if not name.isalnum() or not name.isascii():
+        raise Unreadable(f"not an id: {name[:40]!r}")
+    return name.decode(), line.split(b" ")[1], size
+
+
 class Vault:
     """`ended` hears how each call ended, once; of one that was given up it hears nothing."""
 
@@ -34,6 +49,8 @@
         self.scheduler, self.counters, self.log, self.address = scheduler, counters, log, address
         self.link: Connection | None = None
         self.opening = False
+        self.wait = WAIT_FIRST
+        self.not_before = 0
         self.calls: dict[str, Passage] = {}
         self.first: dict[str, bytes] = {}  # asked while the connection opens
         self.reply: tuple[str, int] | None = None  # whose reply comes next, and its length
@@ -58,6 +75,10 @@
             self.link.write(b"unask %b\r\n" % passage.name.encode())
 
     def serve(self) -> None:
+        # A refusal comes at once on this machine, and the decisions may ask again at once: without a wait
+        # between the tries, a vault that is down would take all of the processor.
+        if self.not_before > self.scheduler.now:
+            self.scheduler.sleep(self.not_before)
         try:
             if self.address is None:
                 raise OSError("no address for it")
@@ -65,11 +86,13 @@
         except OSError as trouble:
             self.opening = False
             self.counters.count("vault.refused")
-            self.log.fault("the vault can't be reached", why=str(trouble))
+            self.not_before = self.scheduler.now + self.wait
+            self.wait = min(2 * self.wait, WAIT_MOST)
             self.first.clear()
-            self.end_all(Outcome.UNREACHED)
+            self.end_all(Outcome.UNREACHED, str(trouble))
             return
         self.opening, self.link, self.reply = False, link, None
+        self.wait = WAIT_FIRST
         self.counters.count("vault.links")
         for message in self.first.values():
             link.write(message)
@@ -80,24 +103,22 @@
         finally:
             link.close(why)
             self.link = None
-            if self.calls:
-                self.counters.count("vault.lost")
-                self.log.fault("connection to the vault lost", why=why, calls=len(self.calls))
-                self.end_all(Outcome.SEVERED)
+            if link.malformed:
+                self.counters.count("vault.malformed")
+            self.end_all(Outcome.SEVERED, why)
 
-    def end_all(self, outcome: Outcome) -> None:
-        calls, self.calls = self.calls, {}
-        for passage in calls.values():
-            self.ended(passage, outcome, b"")
+    def end_all(self, outcome: Outcome, why: str) -> None:
+        """All calls that were on a connection now gone; those asked for since then wait for the next one."""
+        gone = [name for name in self.calls if name not in self.first]
+        if gone:
+            self.counters.count("vault.lost", outcome is Outcome.SEVERED)
+            self.log.fault("no connection to the vault", why=why, calls=len(gone))
+        for name in gone:
+            self.ended(self.calls.pop(name), outcome, b"")
 
     def take(self, link: Connection, buffer: Buffer) -> None:
-        try:
-            while link.open and self.one(buffer):
-                pass
-        except (Overflow, ValueError) as trouble:
-            self.counters.count("vault.malformed")
-            self.log.fault("malformed line from the vault", why=str(trouble))
-            link.close("malformed line")
+        while link.open and self.one(buffer):
+            pass
 
     def one(self, buffer: Buffer) -> bool:
         """The next reply, if it is whole."""
@@ -105,8 +126,8 @@
             line = buffer.line(LINE)
             if line is None:
                 return False
-            name, word, length = self.parts(line)
-            if length is None:
+            name, word, length = reply_line(line)
+            if OUTCOMES[word] is not Outcome.HONOURED:
                 self.over(name, OUTCOMES[word], b"")
                 return True
             self.reply = name, length
@@ -115,23 +136,11 @@
             return False
         body = buffer.take(length)
         if buffer.take(2) != b"\r\n":
-            raise ValueError("a reply longer than it said")
+            raise Unreadable("a reply longer than it said")
         self.reply = None
         self.over(name, Outcome.HONOURED, body)
         return True
 
-    @staticmethod
-    def parts(line: bytes) -> tuple[str, bytes, int | None]:
-        """`ID yes LENGTH` or `ID WORD`."""
-        words = line.split(b" ")
-        if len(words) < 2 or words[1] not in OUTCOMES or len(words) != (3 if words[1] == b"yes" else 2):
-            raise ValueError(f"not a reply: {line[:80]!r}")
-        if words[1] != b"yes":
-            return words[0].decode("ascii"), words[1], None
-        if not words[2].isdigit() or len(words[2]) > 6 or int(words[2]) > REPLY:
-            raise ValueError(f"a length of {words[2][:20]!r}")
-        return words[0].decode("ascii"), words[1], int(words[2])
-
     def over(self, name: str, outcome: Outcome, body: bytes) -> None:
         passage = self.calls.pop(name, None)
         if passage is None:
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,351 @@
+"""The program as `run` starts it, spoken to over loopback; its peers are the toy ones of `examples/`."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from birchslip.net.messagepack import pack
+from examples.toy import CONFIGURATION, Agent, Catalog, Router, Vault
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 20
+
+
+class Place:
+    """One program among toy peers; the program's log is read as it comes."""
+
+    def __init__(self, folder, vault_up=True, greets=True, **more):
+        self.agent, self.vault, self.catalog = Agent(greets=greets), Vault(), Catalog()
+        if not vault_up:
+            self.vault.stop()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = f"127.0.0.1:{free.getsockname()[1]}"
+        told = json.loads(CONFIGURATION.read_text())
+        told |= {"listen": self.address, "agent": self.agent.address, "vault": self.vault.address}
+        told |= {"directory": self.catalog.address, **more}
+        (folder / "config.json").write_text(json.dumps(told))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "birchslip"],
+            cwd=ROOT,
+            env=os.environ | {"PROXY_CONFIG": str(folder / "config.json")},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.lines = []
+        self.line("listening")
+        if greets:
+            self.line("now=serving")
+
+    def line(self, part):
+        """The next line of the log that holds this."""
+        for line in self.process.stderr:
+            self.lines.append(line)
+            if part in line:
+                return line
+        raise AssertionError(f"no line with {part!r} in {self.lines}")
+
+    def counters(self):
+        self.process.send_signal(signal.SIGUSR1)
+        return self.read_counters()
+
+    def read_counters(self):
+        pairs = (pair.split("=") for pair in self.line("event=counters").split() if "=" in pair)
+        return {name: int(value) for name, value in pairs if value.isdigit()}
+
+    def router(self):
+        return Router(self.address, PATIENCE)
+
+    def order(self, op):
+        """The next order of this kind that the agent gets."""
+        while True:
+            order = self.agent.seen.get(timeout=PATIENCE)
+            if order["op"] == op:
+                return order
+
+    def stop(self):
+        print(*self.lines, sep="")
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(PATIENCE)
+        self.process.stderr.close()
+        for peer in (self.agent, self.vault, self.catalog):
+            peer.stop()
+
+
+@pytest.fixture
+def start(tmp_path):
+    places = []
+
+    def begin(**more):
+        places.append(Place(tmp_path, **more))
+        return places[-1]
+
+    yield begin
+    for place in places:
+        place.stop()
+
+
+def test_transactions_are_honoured_with_and_without_a_call_in_any_order(start):
+    place = start()
+    router = place.router()
+    ping, slow = router.ping(), router.call("lookup", b"300 ms")
+    quick, called = router.call("lookup", b"1 ms"), router.call("order", b"10 ms call", opkey="k1")
+    assert router.answer(quick) == (None, [b"made of 1 ms", {}])
+    assert slow not in router.replies  # answers come as they are ready
+    assert router.answer(called) == (None, [b"made of 10 ms call and paid", {}])
+    assert router.answer(slow)[0] is None and router.answer(ping) == (None, [True, {}])
+    seen = place.counters()
+    assert (seen["take_in.taken"], seen["book.honoured"], seen["send.launched"]) == (3, 3, 3)
+    assert (seen["relay.called"], seen["relay.honoured"], seen["clients.pings"]) == (1, 1, 1)
+    assert place.catalog.seen.get(timeout=PATIENCE) == ("/catalog/register/toy-1", {"status": "passing"})
+
+
+def test_what_cannot_be_held_is_shed_with_its_holdoff(start):
+    router = start().router()
+    error, result = router.answer(router.call("lookup", b"1", need="3999"))
+    assert error[0] == "Overloaded" and int(error[1]["holdoff"]) > 0 and result is None
+
+
+def test_a_repeat_of_a_label_shares_the_one_run(start):
+    place = start()
+    router, other = place.router(), place.router()
+    first = router.call("order", b"hold", opkey="k1")
+    held = place.order("launch")["id"]
+    repeat = other.call("order", b"hold", opkey="k1", resent="1")
+    router.abort(first)  # its run goes on for the repeat
+    assert other.answer(other.ping())[0] is None
+    place.agent.end(held)
+    assert other.answer(repeat) == (None, [b"made of hold", {}])
+    assert other.answer(other.call("order", b"hold", opkey="k1", resent="1")) == (None, [b"made of hold", {}])
+    assert len(place.agent.launched) == 1 and place.counters()["admit.repeats"] == 2
+
+
+def test_an_abort_stops_the_run_and_frees_its_place(start):
+    place = start()
+    router = place.router()
+    aborted = router.call("lookup", b"hold")
+    held = place.order("launch")["id"]
+    router.abort(aborted)
+    assert place.order("freeze")["id"] == held
+    assert router.answer(router.call("lookup", b"1"))[0] is None
+    seen = place.counters()
+    assert (seen["book.gone"], seen["send.recalled"], seen["book.honoured"]) == (1, 1, 1)
+
+
+def test_a_connection_that_ends_takes_its_transactions_along(start):
+    place = start()
+    router = place.router()
+    router.call("lookup", b"hold")
+    place.order("launch")
+    router.link.close()
+    place.order("freeze")
+    assert place.counters()["book.gone"] == 1
+
+
+def test_a_lost_link_to_the_agent_loses_nothing_and_runs_nothing_twice(start):
+    place = start()
+    router = place.router()
+    ended, held = router.call("order", b"hold", opkey="k1"), router.call("lookup", b"hold")
+    launched = {order["class"]: order["id"] for order in (place.order("launch"), place.order("launch"))}
+    first, second = launched["order"], launched["lookup"]
+    with place.agent.lock:
+        place.agent.drop()
+        place.agent.out = None
+        place.agent.end(first)  # while there is no link: told again on the next
+    assert place.order("subscribe")["seq"] == 0
+    assert router.answer(ended)[0] is None
+    again = place.order("launch")  # no notice has answered this one, and to launch what runs changes nothing
+    assert again["id"] == second
+    place.agent.end(second)
+    assert router.answer(held)[0] is None and sorted(place.agent.launched) == sorted([first, second])
+    seen = place.counters()
+    assert (seen["agent.links"], seen["agent.lost"], seen["book.honoured"]) == (2, 1, 2)
+
+
+@pytest.mark.parametrize("vault", ["down", "notnow", "failed"])
+def test_a_call_that_fails_is_written_off_in_time(start, vault):
+    place = start(vault_up=vault != "down")
+    place.vault.word = vault
+    router = place.router()
+    error, _ = router.answer(router.call("order", b"1 call", opkey="k1", timeout="2000"))
+    assert error[0] == "Failed"
+    assert router.answer(router.call("lookup", b"1"))[0] is None
+    assert place.counters()["vault.refused"] < 30  # guards against a spin while it is down
+
+
+def test_a_call_without_a_reply_is_given_up(start):
+    place = start()
+    place.vault.word = "silent"
+    router = place.router()
+    assert router.answer(router.call("order", b"1 call", opkey="k1", timeout="600"))[0][0] == "Failed"
+    words = [place.vault.seen.get(timeout=PATIENCE)[0] for _ in range(2)]
+    assert words == [b"ask", b"unask"]
+
+
+@pytest.mark.parametrize(
+    ("profile", "fields", "named"),
+    [
+        ("unheard", {}, "no such profile"),
+        ("lookup", {"owner": "red"}, "no such tenant"),
+        ("lookup", {"req": "xyz"}, "req"),
+        ("lookup", {"ts": "now"}, "ts"),
+        ("lookup", {"timeout": "-1"}, "timeout"),
+        ("lookup", {"need": "nan"}, "need"),
+        ("lookup", {"via": "-4"}, "via"),
+        ("order", {}, "opkey"),
+        ("lookup", {"body": "long"}, "a body of at most"),
+    ],
+)
+def test_a_transaction_that_cannot_be_taken_in_hears_why(start, profile, fields, named):
+    router = start().router()
+    body = b"x" * 3000 if fields.pop("body", "") else b"1"
+    assert named in router.answer(router.call(profile, body, **fields))[0][0]
+    assert router.answer(router.call("lookup", b"1"))[0] is None
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\xc1",
+        b"GET / HTTP/1.1\r\n\r\n",
+        pack([7, 7]),
+        pack([0, "one", "ping", [{}]]),
+        pack([0, 0, "ping", [{}]]),
+        b"\xdb\xff\xff\xff\xff",
+        b"\x94\x00\x01\xa6lookup\x91" + b"\xc5\x40\x00" + b"x" * 40_000,
+    ],
+)
+def test_rubbish_from_a_router_closes_its_connection_alone(start, raw):
+    place = start()
+    good, bad = place.router(), place.router()
+    held = good.call("lookup", b"50")
+    bad.link.sendall(raw)
+    with pytest.raises((EOFError, ConnectionResetError)):
+        bad.message()
+    assert good.answer(held)[0] is None
+    assert place.counters()["clients.malformed"] == 1
+
+
+def test_more_than_thirty_two_open_transactions_on_a_connection(start):
+    router = start().router()
+    numbers = [router.call("lookup", b"hold", need="1") for _ in range(33)]
+    assert "more than 32" in router.answer(numbers[-1])[0][0]
+
+
+@pytest.mark.parametrize(
+    "raw", [b"\xff\xfe\n", b"[]\n", b'{"op":"greeting"}\n', b'{"op":"outcome","seq":"x"}\n']
+)
+def test_rubbish_from_the_agent_opens_the_link_anew(start, raw):
+    place = start()
+    router = place.router()
+    place.order("subscribe")
+    held = router.call("lookup", b"100")
+    place.order("launch")
+    place.agent.say(raw)
+    place.order("subscribe")
+    assert router.answer(held)[0] is None
+    assert place.counters()["agent.malformed"] == 1
+
+
+def test_rubbish_from_the_vault_and_the_catalog_touches_no_transaction(start):
+    place = start()
+    router = place.router()
+    place.vault.word, place.catalog.status = "silent", 500
+    waiting = router.call("order", b"1 call", opkey="k1")
+    place.vault.seen.get(timeout=PATIENCE)
+    place.vault.say(b"what is this\r\n")
+    assert router.answer(waiting)[0][0] == "Failed"
+    place.line("report to the catalog failed")
+    place.vault.word, place.catalog.status = "yes", 204
+    assert router.answer(router.call("order", b"1 call", opkey="k2"))[0] is None
+    seen = place.counters()
+    assert (seen["vault.malformed"], seen["relay.severed"]) == (1, 1) and seen["catalog.failed"] >= 1
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_told_to_leave_it_answers_what_it_has_and_ends(start, number):
+    place = start()
+    router, idle = place.router(), place.router()
+    assert idle.answer(idle.ping())[0] is None
+    held = router.call("lookup", b"hold")
+    name = place.order("launch")["id"]
+    place.process.send_signal(number)
+    place.line("now=draining")
+    assert idle.message() == [2, "closing", []] and router.message() == [2, "closing", []]
+    with pytest.raises(ConnectionRefusedError):
+        place.router()
+    idle.link.close()
+    place.agent.end(name)
+    assert router.answer(held)[0] is None
+    router.link.close()
+    seen = place.read_counters()
+    assert place.process.wait(PATIENCE) == 0 and seen["book.honoured"] == 1
+    assert any("now=ended" in line for line in place.lines)
+
+
+def test_what_still_runs_at_the_end_is_written_off_before_it(start):
+    place = start(stop_ms=800)
+    router = place.router()
+    held = router.call("order", b"hold", opkey="k1")
+    place.order("launch")
+    began = time.monotonic()
+    place.process.send_signal(signal.SIGTERM)
+    assert router.answer(held)[0][0] == "Failed"
+    assert place.process.wait(PATIENCE) == 0 and time.monotonic() - began < 5
+
+
+def test_a_second_notice_ends_it_at_once(start):
+    place = start(stop_ms=60_000)
+    router = place.router()
+    router.call("order", b"hold", opkey="k1")
+    place.order("launch")
+    place.process.send_signal(signal.SIGTERM)
+    place.line("now=draining")
+    place.process.send_signal(signal.SIGTERM)
+    assert place.process.wait(PATIENCE) == 0
+
+
+def test_checks_are_answered_before_the_agent_greets(start):
+    place = start(greets=False)
+    router = place.router()
+    assert router.answer(router.ping()) == (None, [True, {}])
+    assert router.answer(router.call("lookup", b"1"))[0][0] == "Overloaded"
+    place.order("subscribe")
+    place.agent.greet()
+    place.line("now=serving")
+    assert router.answer(router.call("lookup", b"1"))[0] is None
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (None, "PROXY_CONFIG names no file"),
+        ("{", "is not JSON"),
+        ("[]", "holds no object"),
+        ('{"listen": "nowhere"}', "name is absent"),
+        ('{"name": "a", "listen": "nowhere"}', "listen is not HOST:PORT"),
+        ('{"name": "a", "listen": "127.0.0.1:1", "agent": "x:1", "directory": "x:1"}', "classes"),
+        ('{"name": "a", "listen": "127.0.0.1:1", "agent": "x:1", "stop_ms": "soon"}', "stop_ms"),
+    ],
+)
+def test_a_start_that_cannot_be_ends_with_one_plain_line(tmp_path, text, named):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    environment = {"PROXY_CONFIG": str(path)} if text is not None else {}
+    ended = subprocess.run(
+        [sys.executable, "-m", "birchslip"],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert ended.returncode != 0 and named in ended.stderr and ended.stderr.count("\n") == 1
--- /dev/null
+++ b/tests/test_stages.py
@@ -0,0 +1,360 @@
+"""Labels, the stages between the decisions and the peers, and the phases, without a socket."""
+
+import pytest
+
+from birchslip.interface import (
+    SECOND,
+    Attach,
+    Call,
+    CallEnded,
+    Ended,
+    Forget,
+    Kind,
+    NeedsCall,
+    Outcome,
+    Remember,
+    Shed,
+    SkipCall,
+    Start,
+    Stop,
+    Transaction,
+    WriteOff,
+)
+from birchslip.net.counters import Counters
+from birchslip.net.labels import Labels
+from birchslip.net.passage import Conclusion, Passage
+from birchslip.net.program import MOVES, Phase, Program
+from birchslip.net.servers import OUTCOMES as RUN_OUTCOMES
+from birchslip.net.site import Site
+from birchslip.net.stages.admit import Admit
+from birchslip.net.stages.book import Book
+from birchslip.net.stages.relay import Relay
+from birchslip.net.stages.route import Route
+from birchslip.net.stages.send import Send
+from birchslip.net.vault import OUTCOMES as CALL_OUTCOMES
+
+from .desk import profile
+
+LABELLED = profile(Kind.LABELLED, window=5 * SECOND)
+REDOABLE = profile()
+
+
+class Peer:
+    """Stands for the agent, the vault, a router's connection and the log: keeps what it is told."""
+
+    def __init__(self):
+        self.said, self.runs, self.open = [], {}, {}
+
+    def __getattr__(self, name):
+        return lambda *parts, **_: self.said.append((name, *(p for p in parts if not isinstance(p, Passage))))
+
+    def launch(self, passage):
+        self.runs[passage.name] = passage
+        self.said.append(("launch", passage.name))
+
+
+class Clock:
+    """Stands for the scheduler: time is set, timers are kept."""
+
+    def __init__(self):
+        self.now, self.timers = 100 * SECOND, []
+
+    def tell_time(self):
+        return self.now
+
+    def soon(self):
+        pass
+
+    def at(self, due, action):
+        self.timers.append((due, action))
+        return Peer()
+
+
+class Chain:
+    """The stages, with what the decisions hear kept in place of the decisions."""
+
+    def __init__(self):
+        self.clock, self.counters = Clock(), Counters()
+        self.agent, self.vault, self.log = Peer(), Peer(), Peer()
+        self.labels = Labels(4 * SECOND)
+        self.admit = Admit(self.clock, self.counters, self.labels)
+        self.book = Book(self.counters, self.log, self.labels, self.admit)
+        self.relay = Relay(self.clock, self.counters, self.agent, self.vault, self.admit)
+        self.send = Send(self.counters, self.log, self.agent, self.labels, self.admit, self.relay, self.book)
+        self.route = Route(self.clock, self.labels, self.send, self.relay, self.book)
+
+    def passage(self, name="a", kind=REDOABLE, label="", original=None):
+        now = self.clock.now
+        tx = Transaction(kind, 0, now, now + kind.outer, 100, original=original and original.transaction)
+        passage = Passage(Peer(), 7, name, "lookup", b"body", tx, label)
+        tx.outside = passage
+        return passage
+
+    def wish(self, passage, *wishes):
+        for wish in wishes:
+            self.route.carry(passage.transaction, wish)
+        return self
+
+    def heard(self):
+        heard = [(passage.name, event) for passage, event in self.admit.news]
+        self.admit.news.clear()
+        return heard
+
+
+@pytest.fixture
+def chain():
+    return Chain()
+
+
+@pytest.mark.parametrize(
+    ("wish", "answer"),
+    [
+        (Shed(), ("answer_error", 7, "Overloaded", {})),
+        (Shed(2501, True), ("answer_error", 7, "Overloaded", {"holdoff": "251", "nomore": "1"})),
+        (WriteOff(), ("answer_error", 7, "Failed")),
+    ],
+)
+def test_final_answers_are_given_once(chain, wish, answer):
+    passage = chain.passage()
+    chain.wish(passage, wish, wish, Shed(), WriteOff())
+    chain.book.gone(passage)
+    assert passage.client.said == [answer] and chain.heard() == []
+
+
+@pytest.mark.parametrize(
+    ("end", "answer"),
+    [
+        ("done", ("answer_result", 7, b"made")),
+        ("crashed", ("answer_error", 7, "Failed")),
+        ("aborted", ("answer_error", 7, "Failed")),
+        ("stale", ("answer_error", 7, "Failed")),
+    ],
+)
+def test_the_end_of_a_run_answers_and_is_heard(chain, end, answer):
+    passage = chain.passage()
+    chain.wish(passage, Start())
+    chain.send.ended(passage, RUN_OUTCOMES[end], b"made", 40)
+    assert passage.client.said == [answer] and chain.heard() == [("a", Ended(RUN_OUTCOMES[end], 40))]
+
+
+def test_a_stop_goes_only_to_what_runs(chain):
+    passage = chain.passage()
+    chain.wish(passage, Stop(), Start(), Stop())
+    assert chain.agent.said == [("launch", "a"), ("freeze",)]
+
+
+@pytest.mark.parametrize(
+    ("word", "outcome"),
+    [
+        (b"yes", Outcome.HONOURED),
+        (b"notnow", Outcome.SATURATED),
+        (b"failed", Outcome.ERRED),
+        (b"overdue", Outcome.OVERDUE),
+        (b"pointless", Outcome.MOOT),
+    ],
+)
+def test_the_vaults_words(chain, word, outcome):
+    passage = chain.passage()
+    chain.wish(passage, Start())
+    chain.relay.wanted(passage, 3, b"question")
+    chain.wish(passage, Call(2500))
+    chain.clock.now += 30
+    chain.relay.ended(passage, CALL_OUTCOMES[word], b"reply")
+    assert chain.vault.said == [("ask", 250, b"question")]
+    assert chain.heard() == [("a", NeedsCall()), ("a", CallEnded(outcome, 30))]
+    assert (("deliver", b"reply") in chain.agent.said) == (outcome is Outcome.HONOURED)
+
+
+def test_a_call_past_its_limit_is_given_up(chain):
+    passage = chain.passage()
+    chain.wish(passage, Start(), Call(2500))
+    due, action = chain.clock.timers[0]
+    assert due == chain.clock.now + 2500
+    action()
+    assert chain.vault.said[-1] == ("unask",) and chain.heard() == [("a", CallEnded(Outcome.OVERDUE, 0))]
+
+
+@pytest.mark.parametrize("over", ["written off", "run ended"])
+def test_no_call_is_left_behind_by_what_is_over(chain, over):
+    passage = chain.passage()
+    chain.wish(passage, Start(), Call(2500))
+    if over == "written off":
+        chain.wish(passage, WriteOff(), WriteOff())
+    else:
+        chain.send.ended(passage, Outcome.RECALLED, b"", 0)
+    assert chain.vault.said[1:] == [("unask",)]
+
+
+def test_a_skipped_call_names_its_notice(chain):
+    passage = chain.passage()
+    chain.relay.wanted(passage, 3, b"question")
+    chain.wish(passage, SkipCall())
+    assert chain.agent.said == [("forgo",)] and passage.need == 3
+
+
+# ---- labels ------------------------------------------------------------------------------------------------
+
+START = 100 * SECOND
+
+
+@pytest.mark.parametrize(
+    ("fate", "arrived", "found"),
+    [
+        ("held", START + 1, "a"),
+        ("held", START + 5 * SECOND, "a"),
+        ("held", START + 5 * SECOND + 1, None),
+        ("forgotten", START + 1, None),
+        ("ran", START + 5 * SECOND, "a"),
+        ("ran and forgotten", START + 1, "a"),  # what has run is not forgotten before its window is over
+        ("moved", START + 1, "b"),
+        ("ran, then moved", START + 1, "a"),  # the one that ran comes before the one with the entry
+    ],
+)
+def test_who_is_repeated(chain, fate, arrived, found):
+    first, second = (chain.passage(name, LABELLED, "key") for name in "ab")
+    chain.wish(first, Remember(LABELLED.window))
+    if fate.startswith("ran"):
+        chain.wish(first, Start())
+    if "moved" in fate:
+        chain.wish(second, Remember(LABELLED.window))
+    if "forgotten" in fate:
+        chain.wish(first, Forget())
+    repeated = chain.labels.find("key", arrived)
+    assert (repeated and repeated.name) == found
+
+
+@pytest.mark.parametrize("end", [None, Outcome.HONOURED, Outcome.RECALLED])
+def test_one_label_is_launched_once_whatever_is_wished(chain, end):
+    first, second = (chain.passage(name, LABELLED, "key") for name in "ab")
+    chain.wish(first, Remember(LABELLED.window), Start(), WriteOff())
+    if end:
+        chain.send.ended(first, end, b"made", 0)
+    chain.clock.now += 5 * SECOND - 1
+    chain.wish(second, Remember(LABELLED.window), Start())
+    assert [said for said in chain.agent.said if said[0] == "launch"] == [("launch", "a")]
+    if not end:
+        chain.send.ended(first, Outcome.HONOURED, b"made", 0)
+    assert second.client.said[0][0] == ("answer_error" if end is Outcome.RECALLED else "answer_result")
+
+
+def test_a_label_runs_again_after_its_window(chain):
+    first = chain.passage("a", LABELLED, "key")
+    chain.wish(first, Remember(LABELLED.window), Start())
+    chain.clock.now += 5 * SECOND + 1
+    second = chain.passage("b", LABELLED, "key")
+    chain.wish(second, Remember(LABELLED.window), Start())
+    assert [said[1] for said in chain.agent.said] == ["a", "b"]
+    chain.send.ended(first, Outcome.HONOURED, b"old", 0)  # the old run ends late: it is not the new one's
+    assert first.client.said == [("answer_result", 7, b"old")] and second.client.said == []
+
+
+@pytest.mark.parametrize(
+    ("fate", "answer", "outcome"),
+    [
+        ("ended before", ("answer_result", 7, b"made"), Outcome.HONOURED),
+        ("ends later", ("answer_result", 7, b"made"), Outcome.HONOURED),
+        ("crashes", ("answer_error", 7, "Failed"), Outcome.ERRED),
+        ("is dropped", ("answer_error", 7, "Failed"), Outcome.ERRED),
+    ],
+)
+def test_a_repeat_shares_the_outcome(chain, fate, answer, outcome):
+    first = chain.passage("a", LABELLED, "key")
+    chain.wish(first, Remember(LABELLED.window))
+    if fate != "is dropped":
+        chain.wish(first, Start())
+    if fate == "ended before":
+        chain.send.ended(first, Outcome.HONOURED, b"made", 0)
+    repeat = chain.passage("b", LABELLED, "key", first)
+    chain.wish(repeat, Attach())
+    if fate == "is dropped":
+        chain.wish(first, Forget(), Shed())
+    elif fate != "ended before":
+        chain.send.ended(first, Outcome.ERRED if fate == "crashes" else Outcome.HONOURED, b"made", 0)
+    assert repeat.client.said == [answer] and ("b", Ended(outcome)) in chain.heard()
+
+
+def test_a_repeat_that_was_answered_hears_nothing_more(chain):
+    first = chain.passage("a", LABELLED, "key")
+    chain.wish(first, Remember(LABELLED.window), Start())
+    repeat = chain.passage("b", LABELLED, "key", first)
+    chain.wish(repeat, Attach(), WriteOff())
+    chain.send.ended(first, Outcome.HONOURED, b"made", 0)
+    assert repeat.client.said == [("answer_error", 7, "Failed")]
+    assert [name for name, _ in chain.heard()] == ["a"]
+
+
+def test_entries_and_results_are_dropped_after_their_time(chain):
+    for place in range(100):
+        passage = chain.passage(str(place), LABELLED, f"key{place}")
+        chain.wish(passage, Remember(LABELLED.window), Start())
+        chain.labels.conclude(passage, Conclusion(Outcome.HONOURED, b"x" * 4096))
+        chain.clock.now += SECOND
+    assert len(chain.labels.table) <= 11 and len(chain.labels.ends) <= 11
+
+
+# ---- faults and phases -------------------------------------------------------------------------------------
+
+
+def test_a_fault_writes_its_transaction_off_and_no_other(chain):
+    bad, good = chain.passage("a"), chain.passage("b")
+    stage = chain.book.guarded(lambda passage: 1 // (passage is good))
+    stage(bad)
+    stage(good)
+    assert bad.client.said == [("answer_error", 7, "Failed")] and good.client.said == []
+    assert chain.counters.counts["book.faults"] == 1
+
+
+def test_a_fault_in_the_decisions_ends_one_path(chain):
+    passages = [chain.passage("a"), chain.passage("b")]
+
+    def carry(transaction, wish):
+        if transaction.outside.name == "a" and isinstance(wish, Start):
+            raise KeyError("made up")
+        chain.route.carry(transaction, wish)
+
+    chain.admit.carry, chain.admit.tell, chain.admit.fault = carry, lambda notice: None, chain.book.fault
+    chain.admit.begin(site().deployment, chain.clock.now)
+    for passage in passages:
+        chain.admit.arrive(passage)
+    chain.admit.settle()
+    assert passages[0].client.said == [("answer_error", 7, "Failed")]
+    assert chain.agent.said == [("launch", "b")]
+
+
+def site():
+    from birchslip.interface import Deployment
+
+    here = ("127.0.0.1", 1)
+    deployment = Deployment([REDOABLE], cores=2)
+    return Site("t", here, here, here, None, 3 * SECOND, 64, deployment, ["lookup"], [], [])
+
+
+@pytest.mark.parametrize("phase", Phase)
+def test_only_the_named_moves_are_made(phase):
+    program = Program(site())
+    for target in Phase:
+        program.phase = phase
+        if target in MOVES[phase]:
+            program.move(target)
+            assert program.phase is target
+        else:
+            with pytest.raises(RuntimeError, match=target.value):
+                program.move(target)
+
+
+def test_every_phase_leads_to_the_end():
+    for phase in Phase:
+        while phase is not Phase.ENDED:
+            assert MOVES[phase]
+            phase = MOVES[phase][-1]
+
+
+def test_before_the_agent_greets_a_transaction_is_shed_and_checks_are_good():
+    program, chain = Program(site()), Chain()
+    passage = chain.passage()
+    program.admit.arrive(passage)
+    program.settle()
+    assert passage.client.said == [("answer_error", 7, "Overloaded", {})] and program.passing()
+    program.greeted(True, program.scheduler.now - 20)
+    assert program.phase is Phase.SERVING and program.admit.driver.brain.site.cold
+    assert program.admit.driver.brain.started == program.scheduler.now - 20
