Count the agent's age for its warmth alone: no quota binds before one full window

Checked: the module holds back while `now - started` is under ten windows; the program had begun it with the start of an agent that had been warm long before. At fault: `Program.greeted`, which passed that age on for a warm agent too.

Also: a connection that the system refuses before it waits (no EINPROGRESS) is refused here as well.

--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -141,11 +143,14 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if sock.connect_ex(address):
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, os.strerror(code))
+        if code:
             events = scheduler.wait(sock.fileno(), WRITE, scheduler.now + CONNECT_LIMIT)
             trouble = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if trouble or not events:
-                raise OSError(trouble, "no connection")
+                raise OSError(trouble, os.strerror(trouble) if trouble else "no connection in time")
     except BaseException:
         scheduler.forget(sock.fileno())
         sock.close()
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -107,10 +107,13 @@
             self.log.sink.finish()
 
     def greeted(self, cold: bool, began: int) -> None:
-        """The agent is up: the decisions begin, empty, with its age."""
+        """The agent is up: the decisions begin, empty. Its age counts for its warmth alone.
+
+        Begun with the age of a warm one, the quota would bind before its windows had been filled once.
+        """
         if self.phase is Phase.STARTING:
             self.move(Phase.SERVING)
-            self.admit.begin(replace(self.site.deployment, cold=cold), began)
+            self.admit.begin(replace(self.site.deployment, cold=cold), began if cold else self.scheduler.now)
 
     def leave(self) -> None:
         """The notice to leave; a second one ends the program at once."""
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -355,6 +355,14 @@
     program.admit.arrive(passage)
     program.settle()
     assert passage.client.said == [("answer_error", 7, "Overloaded", {})] and program.passing()
-    program.greeted(True, program.scheduler.now - 20)
-    assert program.phase is Phase.SERVING and program.admit.driver.brain.site.cold
-    assert program.admit.driver.brain.started == program.scheduler.now - 20
+    assert program.phase is Phase.STARTING
+
+
+@pytest.mark.parametrize(("cold", "counted"), [(True, 20 * SECOND), (False, 0)])
+def test_the_agents_age_counts_while_it_warms_up(cold, counted):
+    """Guards against a quota that binds on a warm agent before the windows have been filled once."""
+    program = Program(site())
+    program.greeted(cold, program.scheduler.now - 20 * SECOND)
+    brain = program.admit.driver.brain
+    assert (program.phase, brain.site.cold) == (Phase.SERVING, cold)
+    assert brain.started == program.scheduler.now - counted
