Print the counters a line for each peer and stage, with memory and CPU; bound tested

A descriptor bound that is reached leaves new connections waiting in the system's queue, and EMFILE is survived: both have tests. After a lost link, a redoable run nobody waits for any more is concluded, not launched again.

--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -29,6 +29,10 @@
         if value > self.peaks.get(name, 0):
             self.peaks[name] = value
 
-    def report(self) -> dict[str, int]:
-        """All of them, by name; peaks are marked as such."""
-        return dict(self.counts) | {f"{name}.most": value for name, value in sorted(self.peaks.items())}
+    def report(self) -> dict[str, dict[str, int]]:
+        """All of them, by part and name; peaks are marked as such."""
+        parts: dict[str, dict[str, int]] = {}
+        for name, value in [*self.counts.items(), *((f"{name}_most", n) for name, n in self.peaks.items())]:
+            part, _, what = name.partition(".")
+            parts.setdefault(part, {})[what] = value
+        return parts
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -179,9 +179,12 @@
                     self.leave()
 
     def report(self) -> None:
-        """The counters, on request and at exit."""
-        memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        self.log.info("counters", **self.counters.report(), memory_kb=memory)
+        """The counters, on request and at exit: a line for each peer and stage."""
+        for part, counts in self.counters.report().items():
+            self.log.info("counters", part=part, **counts)
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        cpu_ms = int((used.ru_utime + used.ru_stime) * 1000)
+        self.log.info("counters", part="process", memory_kb_most=used.ru_maxrss, cpu_ms=cpu_ms)
 
     # ---- what concerns the whole app server ----------------------------------------------------------------
 
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -13,7 +13,7 @@
 from functools import partial
 from typing import Any
 
-from ..interface import Outcome
+from ..interface import Kind, Outcome
 from .buffer import Buffer, Unreadable
 from .connection import Connection, connect
 from .counters import Counters
@@ -227,8 +227,9 @@
         if self.fences > 1:
             self.log.info("link to the agent found again", last=self.last, runs=len(self.runs))
         for passage in list(self.runs.values()):
-            if self.gap:
-                # Its outcome may be among those that are gone for good.
+            redoable = passage.transaction.profile.kind is Kind.REDOABLE
+            if self.gap or (passage.order and passage.answered and redoable):
+                # Its outcome may be among those that are gone for good, or nobody waits for it any more.
                 del self.runs[passage.name]
                 self.doubt(passage)
             elif passage.order:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -56,8 +56,12 @@
         return self.read_counters()
 
     def read_counters(self):
-        pairs = (pair.split("=") for pair in self.line("event=counters").split() if "=" in pair)
-        return {name: int(value) for name, value in pairs if value.isdigit()}
+        counts, part = {}, ""
+        while part != "process":
+            pairs = dict(pair.split("=", 1) for pair in self.line("event=counters").split())
+            part = pairs["part"]
+            counts |= {f"{part}.{name}": int(value) for name, value in pairs.items() if value.isdigit()}
+        return counts
 
     def router(self):
         return Router(self.address, PATIENCE)
@@ -290,6 +294,16 @@
     assert any("now=ended" in line for line in place.lines)
 
 
+def test_a_connection_past_the_bound_waits_until_one_has_ended(start):
+    place = start(limits={"sockets": 34})
+    first, second, third = place.router(), place.router(), place.router()
+    assert first.answer(first.ping())[0] is None and second.answer(second.ping())[0] is None
+    ping = third.ping()
+    first.link.close()
+    assert third.answer(ping) == (None, [True, {}])
+    assert place.counters()["clients.connections_most"] == 2
+
+
 def test_what_still_runs_at_the_end_is_written_off_before_it(start):
     place = start(stop_ms=800)
     router = place.router()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,11 +1,15 @@
 """Tasks, timers and passes, on a clock that the test sets and on pipes."""
 
+import errno
 import os
 import socket
 
 import pytest
 
+from birchslip.net.clients import Clients
 from birchslip.net.connection import Connection, Pool, connect
+from birchslip.net.counters import Counters
+from birchslip.net.log import Log
 from birchslip.net.scheduler import READ, SLICE, SWEEP, Scheduler
 
 
@@ -162,6 +166,19 @@
     assert said == ["4096 bytes read and not a whole message"] and connection.malformed
 
 
+def test_no_descriptor_left_is_survived(world):
+    class Listener:
+        def accept(self):
+            world.said.append("tried")
+            raise OSError(errno.EMFILE, "too many")
+
+    clients = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), 1024)
+    world.scheduler.spawn("listener", lambda: clients.accept_ready(Listener()))
+    world.scheduler.spawn("other", lambda: world.said.append("other"))
+    assert world.pass_at(1000) == ["tried", "other"] and not world.faults
+    assert clients.counters.counts["clients.refused"] == 1
+
+
 def test_a_refused_connection_is_an_error_of_its_task_alone(world):
     free = socket.create_server(("127.0.0.1", 0))
     address = free.getsockname()
