--- a/examples/toy.py
+++ b/examples/toy.py
@@ -291,10 +291,11 @@
         else:
             number = router.call("order", b"100 ms call", opkey=os.urandom(16).hex())
         sent[number] = time.time()
-    for number, began in sent.items():
-        error, result = router.answer(number)
-        took = (time.time() - began) * 1000
-        print(f"{number:4} after {took:5.0f} ms at most: {error or result}")
+    while sent:
+        message = router.message()
+        if message[0] == 1:
+            took = (time.time() - sent.pop(message[1])) * 1000
+            print(f"{message[1]:4} after {took:5.0f} ms: {message[2] or message[3]}")
 
 
 if __name__ == "__main__":
