Tell missed notices again, know labels by their own time, half-close at the end

- A gap in the agent's notices on a link in use was noted and passed over; the run whose outcome was missing kept its place for ever, and a gap seen on a link that broke before the end of its replay was forgotten (`Agent.notice`, `Agent.serve`).
Now the link is opened anew from the last notice read; only what the agent cannot tell any more is concluded as unknown, written off and never run again.
- A repeat read more than an outer limit late was looked up by a bounded time, which could lie past its label's window (`TakeIn.times`).
It is found by the time that its router told; the bound is for the decisions alone.
- At the end of a drain, connections were closed whole, and what a router had not read yet could be lost to a reset (`Program.end`).
Now they are half-closed first.
- A fault in the task that keeps the agent's link, the listener, the reports or the signals ended it for good; it begins again.
A shed asked for what has run is written off instead.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -138,7 +138,6 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
-        self.scheduler.spawn("listener", self.accept)
 
     def accept(self) -> None:
         while self.listener is not None:
@@ -229,6 +228,10 @@
         for client in list(self.all):
             client.say_closing()
 
+    def say_end(self) -> None:
+        for client in self.all:
+            client.connection.say_end()
+
     def close_all(self) -> None:
         for client in list(self.all):
             client.connection.close("the program ends")
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 
 from .buffer import Buffer, Unreadable
 from .scheduler import ENDED, READ, WRITE, Scheduler
@@ -129,6 +130,12 @@
     def mask(self) -> int:
         return READ | WRITE if self.unsent else READ
 
+    def say_end(self) -> None:
+        """Nothing more is written; what the peer has not read yet still reaches it."""
+        if self.open:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+
     def close(self, why: str) -> None:
         if self.open:
             self.open, self.why = False, why
--- a/birchslip/net/labels.py
+++ b/birchslip/net/labels.py
@@ -44,7 +44,7 @@
     def remember(self, passage: Passage, until: int, now: int) -> None:
         self.purge(now)
         entry = self.table.get(passage.label_name)
-        if entry is None or passage.transaction.arrived > entry.until:
+        if entry is None or passage.stamp > entry.until:
             entry = self.table[passage.label_name] = Label(passage.label_name, passage, until)
         entry.holder, entry.until = passage, max(until, entry.until)
         passage.label = entry
@@ -70,7 +70,7 @@
             return False
         entry.ran = passage
         passage.label = entry
-        entry.until = max(entry.until, passage.transaction.arrived + passage.transaction.profile.window)
+        entry.until = max(entry.until, passage.stamp + passage.transaction.profile.window)
         return True
 
     def attach(self, passage: Passage, original: Passage | None) -> Conclusion | None:
--- a/birchslip/net/passage.py
+++ b/birchslip/net/passage.py
@@ -23,9 +23,11 @@
     profile: str
     body: bytes
     transaction: Transaction
+    stamp: int  # when it came to the machine, as told: a label's window is counted by it
     label_name: str = ""
     label: Label | None = None
     answered: bool = False
+    launched: bool = False  # since then nobody may say that it never ran
     running: bool = False
     # the call that its run waits for: the notice's number and body, and what was asked of the vault
     need: int = 0
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import traceback
+from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
 
@@ -30,6 +31,7 @@
 
 SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
 END_AHEAD = 500  # all is closed 50 ms before the process would be killed
+AGAIN = 1_000  # a task that had a fault begins again after 100 ms
 
 
 class Phase(Enum):
@@ -97,15 +99,30 @@
         self.hear_signals()
         self.clients.listen(self.site.listen)
         self.log.info("listening", address=f"{self.site.listen[0]}:{self.site.listen[1]}")
-        self.scheduler.spawn("signals", self.take_signals)
-        self.scheduler.spawn("agent", self.agent.keep_link)
-        self.scheduler.spawn("catalog", self.catalog.keep_reporting)
+        self.keep("signals", self.take_signals)
+        self.keep("agent", self.agent.keep_link)
+        self.keep("catalog", self.catalog.keep_reporting)
+        self.keep("listener", self.clients.accept)
         try:
             self.scheduler.run()
         finally:
             self.report()
             self.log.sink.finish()
 
+    def keep(self, name: str, work: Callable[[], None]) -> None:
+        """A task that the program can't do without: a fault in it is logged, and it begins again."""
+
+        def kept() -> None:
+            while True:
+                try:
+                    work()
+                    return
+                except Exception as trouble:
+                    self.fault(name, trouble)
+                self.scheduler.sleep(self.scheduler.now + AGAIN)
+
+        self.scheduler.spawn(name, kept)
+
     def greeted(self, cold: bool, began: int) -> None:
         """The agent is up: the decisions begin, empty. Its age counts for its warmth alone.
 
@@ -141,8 +158,10 @@
             self.scheduler.at(self.scheduler.now, self.end)
 
     def end(self) -> None:
-        """As soon as nothing waits to go out, or at the last moment."""
-        if self.clients.pool.size and self.scheduler.now < self.last_moment:
+        """Once all has gone out and the routers have closed, or at the last moment."""
+        if not self.clients.pool.size:
+            self.clients.say_end()
+        if self.clients.all and self.scheduler.now < self.last_moment:
             self.scheduler.at(self.scheduler.now + 10, self.end)
             return
         self.clients.close_all()
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -128,7 +128,7 @@
             self.scheduler.sleep(self.scheduler.now + wait)
 
     def serve(self, link: Connection) -> str:
-        self.link, self.settled, self.gap = link, False, False
+        self.link, self.settled = link, False
         self.counters.count("agent.links")
         link.write(json.dumps({"op": "subscribe", "seq": self.last}).encode() + b"\n")
         try:
@@ -190,6 +190,9 @@
             return
         if number > self.last + 1:
             self.counters.count("agent.gaps")
+            if self.settled:
+                # The agent still has what is missing: it tells it again on a new link.
+                raise Unreadable(f"notice {number} after {self.last}")
             self.log.fault("notices are missing", last=self.last, next=number)
             self.gap = True
         self.last = number
@@ -234,3 +237,4 @@
                 self.doubt(passage)
             elif passage.order:
                 self.link.write(passage.order)
+        self.gap = False
--- a/birchslip/net/stages/admit.py
+++ b/birchslip/net/stages/admit.py
@@ -70,7 +70,7 @@
         if passage.answered:
             return
         if passage.label_name:
-            original = self.labels.find(passage.label_name, transaction.arrived)
+            original = self.labels.find(passage.label_name, passage.stamp)
             if original is not None:
                 self.counters.count("admit.repeats")
                 transaction.original = original.transaction
--- a/birchslip/net/stages/book.py
+++ b/birchslip/net/stages/book.py
@@ -42,8 +42,11 @@
             passage.client.answer_error(passage.number, FAILED)
 
     def shed(self, passage: Passage, after: int = 0, last: bool = False) -> None:
-        """Only ever said of what never ran."""
-        if self.close(passage, "shed"):
+        """Only ever said of what never ran: were it asked for one that has, it would be written off."""
+        if passage.launched:
+            self.log.fault("a shed of what has run was asked for and not said", id=passage.name)
+            self.write_off(passage)
+        elif self.close(passage, "shed"):
             fields = {}
             if after:
                 fields["holdoff"] = str(-(-after // 10))
@@ -72,8 +75,6 @@
             self.share(passage, conclusion)
 
     def share(self, passage: Passage, conclusion: Conclusion) -> None:
-        if passage.answered:
-            return
         outcome = Outcome.HONOURED if conclusion.outcome is Outcome.HONOURED else Outcome.ERRED
         self.conclude(passage, conclusion)
         self.admit.hear(passage, Ended(outcome))
--- a/birchslip/net/stages/send.py
+++ b/birchslip/net/stages/send.py
@@ -38,7 +38,7 @@
             self.log.fault("an id that runs already", id=passage.name)
             self.ended(passage, Outcome.ERRED, b"", 0)
             return
-        passage.running = True
+        passage.launched = passage.running = True
         self.counters.count("send.launched")
         self.counters.peak("send.running", len(self.agent.runs) + 1)
         self.agent.launch(passage)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -71,13 +71,14 @@
         label = ""
         if profile.kind is Kind.LABELLED:
             label = self.field(fields, "opkey")
-        arrived, due = self.times(fields, profile.outer)
+        stamp, arrived, due = self.times(fields, profile.outer)
         return Passage(
             client=client,
             number=number_there,
             name=request,
             profile=name,
             body=body,
+            stamp=stamp,
             label_name=label,
             transaction=Transaction(
                 profile,
@@ -97,15 +98,19 @@
             raise Malformed(f"{name} is absent or too long")
         return value
 
-    def times(self, fields: dict[str, str], outer: int) -> tuple[int, int]:
-        """When it arrived and when it is due: never in the future, never longer ago than a client waits."""
+    def times(self, fields: dict[str, str], outer: int) -> tuple[int, int, int]:
+        """When it came as told, when it is taken to have arrived, and when it is due.
+
+        Never in the future; and for the decisions never longer ago than a client waits, or one absurd time
+        would look like a backlog. What a label repeats is found by the time as told, however late it is read.
+        """
         now = self.scheduler.now
-        arrived = int(number(self.field(fields, "ts"), "ts") * MS)
+        stamp = min(int(number(self.field(fields, "ts"), "ts") * MS), now)
         timeout = int(number(fields.get("timeout", "0"), "timeout") * MS)
         if timeout < 0:
             raise Malformed("timeout is below 0")
-        arrived = max(now - outer, min(arrived, now))
-        return arrived, max(now, arrived + (min(timeout, outer) or outer))
+        arrived = max(now - outer, stamp)
+        return stamp, arrived, max(now, arrived + (min(timeout, outer) or outer))
 
     def size(self, fields: dict[str, str]) -> int:
         need = number(fields.get("need", "0"), "need")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -173,6 +173,37 @@
     assert (seen["agent.links"], seen["agent.lost"], seen["book.honoured"]) == (2, 1, 2)
 
 
+def test_a_notice_that_was_missed_is_told_again_on_a_new_link(start):
+    place = start()
+    router = place.router()
+    first = router.call("lookup", b"hold")
+    name = place.order("launch")["id"]
+    with place.agent.lock:
+        out, place.agent.out = place.agent.out, None
+        place.agent.end(name)  # never arrives on this link
+        place.agent.out = out
+        place.agent.note(op="aside", end="news of no meaning")
+    assert router.answer(first) == (None, [b"made of hold", {}])
+    seen = place.counters()
+    assert (seen["agent.links"], seen["agent.gaps"], seen["agent.asides"]) == (2, 1, 1)
+
+
+def test_what_can_no_longer_be_known_is_written_off_and_not_run_again(start):
+    place = start()
+    router = place.router()
+    labelled = router.call("order", b"hold", opkey="k1")
+    name = place.order("launch")["id"]
+    with place.agent.lock:
+        place.agent.drop()
+        place.agent.out = None
+        place.agent.end(name)
+        place.agent.note(op="aside", end="news of no meaning")
+        place.agent.notices[0] = place.agent.notices[1]  # too many since then: it is gone for good
+    assert router.answer(labelled)[0][0] == "Failed"
+    assert router.answer(router.call("order", b"hold", opkey="k1", resent="1"))[0][0] == "Failed"
+    assert place.agent.launched == [name] and place.counters()["send.recalled"] == 1
+
+
 @pytest.mark.parametrize("vault", ["down", "notnow", "failed"])
 def test_a_call_that_fails_is_written_off_in_time(start, vault):
     place = start(vault_up=vault != "down")
@@ -214,6 +245,15 @@
     assert router.answer(router.call("lookup", b"1"))[0] is None
 
 
+def test_a_repeat_that_is_read_late_is_known_by_its_own_time(start):
+    place = start()
+    router = place.router()
+    stamp = str(time.time_ns() // 1_000_000)
+    assert router.answer(router.call("order", b"1", opkey="k1"))[0] is None
+    late = router.call("order", b"1", opkey="k1", ts=stamp, timeout="1")
+    assert router.answer(late)[0] is None and len(place.agent.launched) == 1
+
+
 @pytest.mark.parametrize(
     "raw",
     [
