Keep the router's words in its parser: a Told in, honour, shed and write_off out

Fields of the routers' messages were read in `take in`, and `book` spelt the words of their answers; a second protocol would have had to pass through both. `clients.py` now fills a `Told` and says the three answers itself. Counters and lines use the house words. A gap in the agent's notices is no longer counted as malformed input.

--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -16,8 +16,8 @@
 from .scheduler import READ, Scheduler
 
 EVERY = 10_000  # a report a second: two may fail before the entry lapses
-LIMIT = 5_000  # a report that is not answered within half a second has failed
-AGAIN = 2_000  # after a report that failed
+LIMIT = 5_000  # a report that is not answered within half a second is missed
+AGAIN = 2_000  # after a report that was missed
 
 
 class Catalog:
@@ -44,14 +44,14 @@
                 self.counters.count("catalog.reports")
                 wait = EVERY
             except OSError as trouble:
-                self.counters.count("catalog.failed")
-                self.log.fault("report to the catalog failed", why=str(trouble))
+                self.counters.count("catalog.missed")
+                self.log.fault("report to the catalog missed", why=str(trouble))
                 self.drop()
                 wait = AGAIN
             self.scheduler.sleep(max(self.scheduler.now + AGAIN, began + wait))
 
     def report(self) -> None:
-        """One report and its answer; OSError says why it failed."""
+        """One report and its answer; OSError says why it was missed."""
         limit = self.scheduler.now + LIMIT
         if self.link is not None and self.hung_up(self.link):
             self.drop()
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -6,18 +6,25 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
+from functools import partial
+from math import ceil
 from typing import Any
 
+from ..deployment import Malformed, number, whole
 from .buffer import Buffer, Unreadable
 from .connection import Connection, Pool
 from .counters import Counters
 from .log import Log
 from .messagepack import Incomplete, pack, unpack
-from .passage import Passage
+from .passage import Passage, Told
 from .scheduler import READ, Scheduler
 
 CALL, REPLY, NEWS = 0, 1, 2  # types of message
-REFUSED, FAILED = "Overloaded", "Failed"
+SHED, WRITTEN_OFF = "Overloaded", "Failed"  # the words of answers that are no result
+HEX = frozenset("0123456789abcdef")
+MS = 10
+BODY = 2048  # the largest body
+NEED = 1 << 22  # KB: far past what any transaction books
 OPEN_MOST = 32  # open transactions on one connection
 BOUND_IN = 32_768  # bytes of a connection's messages not yet taken
 BOUND_OUT = OPEN_MOST * 5_120  # as many answers of the largest size
@@ -31,20 +38,53 @@
 
 def messages(buffer: Buffer) -> tuple[list[Any], str]:
     """All whole messages that have been read, and what is wrong behind them; what is cut off is left."""
-    whole = []
+    read = []
     trouble = ""
     with memoryview(buffer.data) as view:
         at = buffer.start
         try:
             while at < buffer.end:
                 message, at = unpack(view, at, buffer.end)
-                whole.append(message)
+                read.append(message)
         except Incomplete:
             pass
         except Unreadable as why:
             trouble = str(why)
     buffer.skip(at - buffer.start)
-    return whole, trouble
+    return read, trouble
+
+
+def read_told(profile: str, params: list[Any]) -> Told:
+    """A call's profile, fields and body; Malformed names what is wrong."""
+    match params:
+        case [dict(fields), bytes(body)] if len(body) <= BODY:
+            pass
+        case _:
+            raise Malformed(f"not fields and a body of at most {BODY} bytes")
+    for field, value in fields.items():
+        if not isinstance(field, str) or not isinstance(value, str) or len(value) > 64:
+            raise Malformed("a field that is not text of at most 64 characters")
+    name = fields.get("req", "")
+    if len(name) != 16 or not HEX.issuperset(name):
+        raise Malformed("req is not 16 hexadecimal digits")
+    timeout = int(number(fields.get("timeout", "0"), "timeout") * MS)
+    if timeout < 0:
+        raise Malformed("timeout is below 0")
+    need = number(fields.get("need", "0"), "need")
+    if not 0 <= need < NEED:
+        raise Malformed("need is out of range")
+    return Told(
+        name=name,
+        profile=profile,
+        body=body,
+        stamp=int(number(fields.get("ts", ""), "ts") * MS),
+        wait=timeout,
+        caller=whole(fields.get("via", "0"), "via"),
+        tenant=fields.get("owner", ""),
+        size=ceil(need * 1024),
+        again=fields.get("resent", "0") == "1",
+        label=fields.get("opkey", ""),
+    )
 
 
 class Client:
@@ -58,8 +98,8 @@
 
     def take(self, buffer: Buffer) -> None:
         self.clients.moved(self)
-        whole, trouble = messages(buffer)
-        for message in whole:
+        read, trouble = messages(buffer)
+        for message in read:
             self.message(message)
         if trouble:
             raise Unreadable(trouble)
@@ -67,17 +107,17 @@
     def message(self, message: Any) -> None:
         match message:
             case [0, int(), str(method), list(params)] if self.highest < message[1] < 1 << 32:
-                number = self.highest = message[1]
+                at = self.highest = message[1]
                 if method == "ping":
                     self.clients.counters.count("clients.pings")
-                    self.send(pack([REPLY, number, None, [self.clients.good, {}]]))
+                    self.send(pack([REPLY, at, None, [self.clients.good, {}]]))
                 elif len(self.open) >= OPEN_MOST:
-                    self.clients.counters.count("clients.errors")
-                    self.answer_error(number, f"more than {OPEN_MOST} open transactions")
+                    self.clients.counters.count("clients.too_many")
+                    self.write_off(at, f"more than {OPEN_MOST} open transactions")
                 else:
-                    self.clients.take_in(self, number, method, params)
-            case [2, "abort", [int(number)]]:
-                passage = self.open.pop(number, None)
+                    self.clients.take_in(self, at, partial(read_told, method, params))
+            case [2, "abort", [int(at)]]:
+                passage = self.open.pop(at, None)
                 if passage is not None:
                     self.clients.gone(passage)
             case [2, str(), list()]:
@@ -89,11 +129,18 @@
 
     # ---- answers -------------------------------------------------------------------------------------------
 
-    def answer_result(self, number: int, body: bytes) -> None:
-        self.send(pack([REPLY, number, None, [body, {}]]))
+    def honour(self, number: int, result: bytes) -> None:
+        self.send(pack([REPLY, number, None, [result, {}]]))
+
+    def shed(self, number: int, after: int, last: bool) -> None:
+        """When to come back, in whole milliseconds rounded up; `last` asks not to try elsewhere."""
+        fields = {"holdoff": str(-(-after // MS))} if after else {}
+        if last:
+            fields["nomore"] = "1"
+        self.send(pack([REPLY, number, [SHED, fields], None]))
 
-    def answer_error(self, number: int, word: str, fields: dict[str, str] | None = None) -> None:
-        self.send(pack([REPLY, number, [word, fields or {}], None]))
+    def write_off(self, number: int, why: str = WRITTEN_OFF) -> None:
+        self.send(pack([REPLY, number, [why, {}], None]))
 
     def send(self, message: bytes) -> None:
         self.connection.write(message)
@@ -129,7 +176,7 @@
         self.looking = False
         self.pool = Pool(POOL)
         self.listener: socket.socket | None = None
-        self.take_in: Callable[[Client, int, str, list[Any]], None]
+        self.take_in: Callable[[Client, int, Callable[[], Told]], None]
         self.gone: Callable[[Passage], None]
         self.emptied: Callable[[], None]
 
@@ -158,7 +205,7 @@
                 return
             except OSError as trouble:
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.counters.count("clients.refused")
+                    self.counters.count("clients.turned_away")
                     self.log.fault("no descriptor for a connection", why=trouble.strerror)
                     self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
                     return
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -6,14 +6,15 @@
 
 # Shown even while they are nought, so that a report always tells the same story.
 STORY = (
-    "clients.opened clients.closed clients.refused clients.pings clients.malformed clients.errors "
-    "take_in.taken admit.repeats book.honoured book.failed book.shed book.written_off book.gone book.faults "
+    "clients.opened clients.closed clients.turned_away clients.pings clients.malformed clients.too_many "
+    "take_in.taken take_in.malformed admit.repeats "
+    "book.honoured book.erred book.shed book.written_off book.gone book.faults "
     "send.launched send.stopped send.honoured send.erred send.recalled send.moot "
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
-    "agent.links agent.lost agent.refusals agent.asides agent.malformed agent.samples "
-    "vault.links vault.refused vault.lost vault.malformed vault.late "
-    "catalog.reports catalog.failed"
+    "agent.links agent.lost agent.declined agent.asides agent.malformed agent.samples "
+    "vault.links vault.unreached vault.lost vault.malformed vault.late "
+    "catalog.reports catalog.missed"
 ).split()
 
 
--- a/birchslip/net/passage.py
+++ b/birchslip/net/passage.py
@@ -13,6 +13,22 @@
     from .scheduler import Timer
 
 
+@dataclass(slots=True)
+class Told:
+    """What a peer told of a transaction, in this program's units; each protocol fills it its own way."""
+
+    name: str
+    profile: str
+    body: bytes
+    stamp: int  # when it came to the machine
+    wait: int  # how long its caller waits from then on, 0 if it does not say
+    caller: int
+    tenant: str
+    size: int
+    again: bool
+    label: str
+
+
 @dataclass(eq=False, slots=True)
 class Passage:
     """`name` is the id it has with every peer; `number` is that of its message on its router's connection."""
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -203,7 +203,14 @@
             self.log.info("counters", part=part, **counts)
         used = resource.getrusage(resource.RUSAGE_SELF)
         cpu_ms = int((used.ru_utime + used.ru_stime) * 1000)
-        self.log.info("counters", part="process", memory_kb_most=used.ru_maxrss, cpu_ms=cpu_ms)
+        dropped = self.log.sink.dropped
+        self.log.info(
+            "counters",
+            part="process",
+            memory_kb_most=used.ru_maxrss,
+            cpu_ms=cpu_ms,
+            log_lines_dropped=dropped,
+        )
 
     # ---- what concerns the whole app server ----------------------------------------------------------------
 
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -153,12 +153,12 @@
             case "sampled":
                 return partial(self.sampled, str(told["tag"]), [float(value) for value in told["values"]])
             case "refusal":
-                return partial(self.refused, str(told.get("end"))[:40], str(told.get("id"))[:40])
+                return partial(self.declined, str(told.get("end"))[:40], str(told.get("id"))[:40])
             case "aside":
                 act = partial(self.aside, str(told.get("end"))[:200])
                 return partial(self.notice, whole(told), None, act)
             case "request":
-                act = partial(self.request, str(told["id"]), whole(told), body(told))
+                act = partial(self.call_wanted, str(told["id"]), whole(told), body(told))
                 return partial(self.notice, whole(told), str(told["id"]), act)
             case "outcome":
                 outcome, elapsed = OUTCOMES[told["end"]], span(told["ms"])
@@ -167,9 +167,9 @@
             case unknown:
                 raise ValueError(f"op {str(unknown)[:40]!r}")
 
-    def refused(self, order: str, name: str) -> None:
-        self.counters.count("agent.refusals")
-        self.log.fault("the agent refused an order", order=order, id=name)
+    def declined(self, order: str, name: str) -> None:
+        self.counters.count("agent.declined")
+        self.log.fault("the agent did not carry out an order", order=order, id=name)
 
     def greeting(self, cold: bool, age: int) -> None:
         began = self.scheduler.now - max(0, age)
@@ -190,9 +190,10 @@
             return
         if number > self.last + 1:
             self.counters.count("agent.gaps")
-            if self.settled:
+            if self.settled and self.link is not None:
                 # The agent still has what is missing: it tells it again on a new link.
-                raise Unreadable(f"notice {number} after {self.last}")
+                self.link.close(f"notice {number} after {self.last}")
+                return
             self.log.fault("notices are missing", last=self.last, next=number)
             self.gap = True
         self.last = number
@@ -205,7 +206,7 @@
         self.counters.count("agent.asides")
         self.log.fault("remark of the agent", text=text)
 
-    def request(self, name: str, number: int, body: bytes) -> None:
+    def call_wanted(self, name: str, number: int, body: bytes) -> None:
         passage = self.runs[name]
         passage.order = b""
         self.wanted(passage, number, body)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -1,25 +1,18 @@
-"""Take in: a router's message becomes a passage, or an error that names what is wrong with it."""
+"""Take in: what a peer told of a transaction becomes a passage, or an error that names what is wrong."""
 
 from __future__ import annotations
 
 import traceback
 from collections.abc import Callable
-from math import ceil
-from typing import Any
 
-from ...deployment import Malformed, number, whole
+from ...deployment import Malformed
 from ...interface import Deployment, Kind, Tenant, Transaction
-from ..clients import FAILED, Client
+from ..clients import Client
 from ..counters import Counters
 from ..log import Log
-from ..passage import Passage
+from ..passage import Passage, Told
 from ..scheduler import Scheduler
 
-MS = 10
-BODY = 2048  # the largest body
-NEED = 1 << 22  # KB: far past what any transaction books
-HEX = frozenset("0123456789abcdef")
-
 
 class TakeIn:
     def __init__(
@@ -36,92 +29,51 @@
         self.tenants = dict(zip(tenants, deployment.tenants, strict=True))
         self.admit: Callable[[Passage], None]
 
-    def __call__(self, client: Client, number_there: int, profile: str, params: list[Any]) -> None:
+    def __call__(self, client: Client, number: int, told: Callable[[], Told]) -> None:
+        """`told` reads the message, and may find it malformed."""
         try:
-            passage = self.read(client, number_there, profile, params)
+            passage = self.passage(client, number, told())
         except Malformed as trouble:
-            self.counters.count("clients.errors")
+            self.counters.count("take_in.malformed")
             self.log.fault("a transaction that can't be taken in", why=str(trouble))
-            client.answer_error(number_there, str(trouble))
+            client.write_off(number, str(trouble))
             return
         except Exception as trouble:
             self.counters.count("book.faults")
             self.log.fault("a fault in taking in", trace="".join(traceback.format_exception(trouble))[-1500:])
-            client.answer_error(number_there, FAILED)
+            client.write_off(number)
             return
         self.counters.count("take_in.taken")
-        client.open[number_there] = passage
+        client.open[number] = passage
         self.admit(passage)
 
-    def read(self, client: Client, number_there: int, name: str, params: list[Any]) -> Passage:
-        if name not in self.profiles:
-            raise Malformed(f"no such profile: {name[:40]!r}")
-        profile = self.profiles[name]
-        match params:
-            case [dict(fields), bytes(body)] if len(body) <= BODY:
-                pass
-            case _:
-                raise Malformed(f"not fields and a body of at most {BODY} bytes")
-        for field, value in fields.items():
-            if not isinstance(field, str) or not isinstance(value, str):
-                raise Malformed("a field that is not text")
-        request = self.field(fields, "req")
-        if len(request) != 16 or not HEX.issuperset(request):
-            raise Malformed("req is not 16 hexadecimal digits")
-        label = ""
-        if profile.kind is Kind.LABELLED:
-            label = self.field(fields, "opkey")
-        stamp, arrived, due = self.times(fields, profile.outer)
-        return Passage(
-            client=client,
-            number=number_there,
-            name=request,
-            profile=name,
-            body=body,
-            stamp=stamp,
-            label_name=label,
-            transaction=Transaction(
-                profile,
-                caller=whole(fields.get("via", "0"), "via"),
-                arrived=arrived,
-                due=due,
-                size=self.size(fields),
-                tenant=self.tenant(fields),
-                again=fields.get("resent", "0") == "1",
-            ),
-        )
-
-    @staticmethod
-    def field(fields: dict[str, str], name: str) -> str:
-        value = fields.get(name, "")
-        if not value or len(value) > 64:
-            raise Malformed(f"{name} is absent or too long")
-        return value
-
-    def times(self, fields: dict[str, str], outer: int) -> tuple[int, int, int]:
-        """When it came as told, when it is taken to have arrived, and when it is due.
-
-        Never in the future; and for the decisions never longer ago than a client waits, or one absurd time
-        would look like a backlog. What a label repeats is found by the time as told, however late it is read.
-        """
+    def passage(self, client: Client, number: int, told: Told) -> Passage:
+        if told.profile not in self.profiles:
+            raise Malformed(f"no such profile: {told.profile[:40]!r}")
+        profile = self.profiles[told.profile]
+        if profile.kind is Kind.LABELLED and not told.label:
+            raise Malformed("a labelled transaction without its label")
+        # Never in the future; and for the decisions never longer ago than a client waits, or one absurd time
+        # would look like a backlog. What a label repeats is found by the time told, however late it is read.
         now = self.scheduler.now
-        stamp = min(int(number(self.field(fields, "ts"), "ts") * MS), now)
-        timeout = int(number(fields.get("timeout", "0"), "timeout") * MS)
-        if timeout < 0:
-            raise Malformed("timeout is below 0")
-        arrived = max(now - outer, stamp)
-        return stamp, arrived, max(now, arrived + (min(timeout, outer) or outer))
-
-    def size(self, fields: dict[str, str]) -> int:
-        need = number(fields.get("need", "0"), "need")
-        if not 0 <= need < NEED:
-            raise Malformed("need is out of range")
-        return ceil(need * 1024)
+        stamp = min(told.stamp, now)
+        arrived = max(now - profile.outer, stamp)
+        due = max(now, arrived + (min(told.wait, profile.outer) or profile.outer))
+        transaction = Transaction(
+            profile,
+            caller=told.caller,
+            arrived=arrived,
+            due=due,
+            size=told.size,
+            tenant=self.tenant(told.tenant),
+            again=told.again,
+        )
+        label = told.label if profile.kind is Kind.LABELLED else ""
+        return Passage(client, number, told.name, told.profile, told.body, transaction, stamp, label)
 
-    def tenant(self, fields: dict[str, str]) -> Tenant | None:
+    def tenant(self, name: str) -> Tenant | None:
         if not self.tenants:
             return None
-        owner = fields.get("owner", "")
-        if owner not in self.tenants:
-            raise Malformed(f"no such tenant: {owner[:40]!r}")
-        return self.tenants[owner]
+        if name not in self.tenants:
+            raise Malformed(f"no such tenant: {name[:40]!r}")
+        return self.tenants[name]
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -85,7 +85,7 @@
             link = Connection(self.scheduler, connect(self.scheduler, self.address), 2 * REPLY, BOUND_OUT)
         except OSError as trouble:
             self.opening = False
-            self.counters.count("vault.refused")
+            self.counters.count("vault.unreached")
             self.not_before = self.scheduler.now + self.wait
             self.wait = min(2 * self.wait, WAIT_MOST)
             self.first.clear()
