Take what comes within the grace of a drain; shut and say closing after it

At fault: `Program.leave`, which called `Clients.leave` at once: routers learn of a leaving one seconds late and crowded the one that stayed.

Now the listening socket and the connections stay as they are until the grace is over, or 300 ms before the end; then comes the phase `shut`. With no connection left the program still ends at once.

Memory is now read as the process's own peak.

--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import socket
+import time
 import traceback
 from collections.abc import Callable
 from dataclasses import replace
@@ -31,13 +32,15 @@
 
 SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
 END_AHEAD = 500  # all is closed 50 ms before the process would be killed
+SHUT_AHEAD = 3_000  # and routers hear it 300 ms before, however long the grace
 AGAIN = 1_000  # a task that had a fault begins again after 100 ms
 
 
 class Phase(Enum):
     STARTING = "starting"  # listening, checks are answered; the agent has not greeted yet
     SERVING = "serving"
-    DRAINING = "draining"  # told to leave: nobody new, all that was read is answered
+    DRAINING = "draining"  # told to leave: what comes within the grace is taken as before
+    SHUT = "shut"  # the grace is over: nobody new, all that was read is answered
     CLOSING = "closing"  # all is answered; what is written goes out
     ENDED = "ended"
 
@@ -45,12 +48,19 @@
 MOVES = {
     Phase.STARTING: (Phase.SERVING, Phase.CLOSING),
     Phase.SERVING: (Phase.DRAINING,),
-    Phase.DRAINING: (Phase.CLOSING,),
+    Phase.DRAINING: (Phase.SHUT, Phase.CLOSING),
+    Phase.SHUT: (Phase.CLOSING,),
     Phase.CLOSING: (Phase.ENDED,),
     Phase.ENDED: (),
 }
 
 
+def memory_most() -> int:
+    """The highest resident memory since the start, in KB; the usage record would count the parent too."""
+    with open("/proc/self/status", encoding="ascii") as status:
+        return next((int(line.split()[1]) for line in status if line.startswith("VmHWM:")), 0)
+
+
 class Program:
     def __init__(self, site: Site) -> None:
         self.site = site
@@ -139,18 +149,25 @@
             return
         end = self.scheduler.now + self.site.stop
         if self.phase is Phase.STARTING:
-            self.clients.leave()
             self.close()
             return
         self.move(Phase.DRAINING)
         self.admit.leave(end)
-        self.clients.leave()
+        # Routers learn late that this one leaves. Turned away meanwhile, they would crowd those that stay.
+        grace_over = self.scheduler.now + self.site.deployment.grace
+        self.scheduler.at(min(grace_over, end - SHUT_AHEAD), self.shut)
         self.scheduler.at(end - END_AHEAD, self.close)
 
+    def shut(self) -> None:
+        if self.phase is Phase.DRAINING:
+            self.move(Phase.SHUT)
+            self.clients.leave()
+
     def close(self) -> None:
         """Nothing more is owed, or the time is up: what has no answer yet is written off."""
-        if self.phase in (Phase.STARTING, Phase.DRAINING):
+        if self.phase in (Phase.STARTING, Phase.DRAINING, Phase.SHUT):
             self.move(Phase.CLOSING)
+            self.clients.leave()
             for client in list(self.clients.all):
                 for passage in list(client.open.values()):
                     self.book.write_off(passage)
@@ -171,7 +188,7 @@
     def settle(self) -> None:
         """Once a pass."""
         self.admit.settle()
-        if self.phase is Phase.DRAINING and not self.clients.all and not self.admit.news:
+        if self.phase in (Phase.DRAINING, Phase.SHUT) and not self.clients.all and not self.admit.news:
             self.close()
 
     # ---- signals -------------------------------------------------------------------------------------------
@@ -201,13 +218,11 @@
         """The counters, on request and at exit: a line for each peer and stage."""
         for part, counts in self.counters.report().items():
             self.log.info("counters", part=part, **counts)
-        used = resource.getrusage(resource.RUSAGE_SELF)
-        cpu_ms = int((used.ru_utime + used.ru_stime) * 1000)
-        dropped = self.log.sink.dropped
+        cpu_ms, dropped = time.process_time_ns() // 1_000_000, self.log.sink.dropped
         self.log.info(
             "counters",
             part="process",
-            memory_kb_most=used.ru_maxrss,
+            memory_kb_most=memory_most(),
             cpu_ms=cpu_ms,
             log_lines_dropped=dropped,
         )
