--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -22,7 +22,7 @@
 )
 from birchslip.net.counters import Counters
 from birchslip.net.labels import Labels
-from birchslip.net.passage import Conclusion, Passage
+from birchslip.net.passage import Conclusion, Passage, Told
 from birchslip.net.program import MOVES, Phase, Program
 from birchslip.net.servers import OUTCOMES as RUN_OUTCOMES
 from birchslip.net.site import Site
@@ -31,6 +31,7 @@
 from birchslip.net.stages.relay import Relay
 from birchslip.net.stages.route import Route
 from birchslip.net.stages.send import Send
+from birchslip.net.stages.take_in import TakeIn
 from birchslip.net.vault import OUTCOMES as CALL_OUTCOMES
 
 from .desk import profile
@@ -192,6 +193,26 @@
     assert chain.agent.said == [("forgo",)] and passage.need == 3
 
 
+@pytest.mark.parametrize(
+    ("stamp", "wait", "arrived", "due"),
+    [
+        (-100, 4800, -100, 4700),
+        (-100, 0, -100, 39_900),  # its router does not say how long: the outer limit
+        (-100, 900_000, -100, 39_900),
+        (-5000, 3000, -5000, 0),  # due before it was read: due now
+        (36_000_000, 4800, 0, 4800),  # told from the future: it came now
+        (-(10**12), 4800, -40_000, 0),  # absurd: as old as a client waits, and no older
+    ],
+)
+def test_told_times_are_bounded(chain, stamp, wait, arrived, due):
+    now = chain.clock.now
+    take_in = TakeIn(chain.clock, chain.counters, chain.log, site().deployment, ["lookup"], [])
+    told = Told("a" * 16, "lookup", b"", now + stamp, wait, 1, "", 100, False, "")
+    passage = take_in.passage(Peer(), 7, told)
+    tx = passage.transaction
+    assert (tx.arrived - now, tx.due - now, passage.stamp) == (arrived, due, now + min(stamp, 0))
+
+
 # ---- labels ------------------------------------------------------------------------------------------------
 
 START = 100 * SECOND
