--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -180,11 +180,13 @@
         self.gone: Callable[[Passage], None]
         self.emptied: Callable[[], None]
 
-    def listen(self, address: tuple[str, int]) -> None:
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
+        host, port = self.listener.getsockname()
+        return host, port
 
     def accept(self) -> None:
         while self.listener is not None:
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -107,8 +107,8 @@
 
     def run(self) -> None:
         self.hear_signals()
-        self.clients.listen(self.site.listen)
-        self.log.info("listening", address=f"{self.site.listen[0]}:{self.site.listen[1]}")
+        host, port = self.clients.listen(self.site.listen)
+        self.log.info("listening", address=f"{host}:{port}")
         self.keep("signals", self.take_signals)
         self.keep("agent", self.agent.keep_link)
         self.keep("catalog", self.catalog.keep_reporting)
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -51,7 +51,7 @@
             raise Malformed(f"{what} is not a number above 0: {value!r}")
     site = Site(
         name=environment.get("PROXY_NAME") or text(told, "name"),
-        listen=address(environment.get("PROXY_LISTEN") or text(told, "listen"), "listen"),
+        listen=address(environment.get("PROXY_LISTEN") or text(told, "listen"), "listen", lowest=0),
         agent=address(text(told, "agent"), "agent"),
         catalog=address(text(told, "directory"), "directory"),
         vault=address(text(told, "vault"), "vault") if "vault" in told else None,
@@ -81,8 +81,9 @@
         raise Malformed(f"seed is not hexadecimal: {told.get('seed')!r}") from None
 
 
-def address(value: str, what: str) -> Address:
+def address(value: str, what: str, lowest: int = 1) -> Address:
+    """HOST:PORT; where port 0 is allowed, it takes any free one."""
     host, colon, port = value.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not colon or not host or not port.isdecimal() or not lowest <= int(port) < 65536:
         raise Malformed(f"{what} is not HOST:PORT: {value[:60]!r}")
     return host, int(port)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -25,10 +24,8 @@
         self.agent, self.vault, self.catalog = Agent(greets=greets), Vault(), Catalog()
         if not vault_up:
             self.vault.stop()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = f"127.0.0.1:{free.getsockname()[1]}"
         told = json.loads(CONFIGURATION.read_text())
-        told |= {"listen": self.address, "agent": self.agent.address, "vault": self.vault.address}
+        told |= {"listen": "127.0.0.1:0", "agent": self.agent.address, "vault": self.vault.address}
         told |= {"directory": self.catalog.address, **more}
         (folder / "config.json").write_text(json.dumps(told))
         self.process = subprocess.Popen(
@@ -39,7 +36,7 @@
             text=True,
         )
         self.lines = []
-        self.line("listening")
+        self.address = self.line("listening").split("address=")[1].strip()
         if greets:
             self.line("now=serving")
 
