--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -178,7 +178,6 @@
         self.listener: socket.socket | None = None
         self.take_in: Callable[[Client, int, Callable[[], Told]], None]
         self.gone: Callable[[Passage], None]
-        self.emptied: Callable[[], None]
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -237,8 +236,6 @@
             for passage in list(client.open.values()):
                 self.gone(passage)
             client.open.clear()
-            if not self.all:
-                self.emptied()
 
     def moved(self, client: Client) -> None:
         if client in self.all:
--- a/birchslip/net/http.py
+++ b/birchslip/net/http.py
@@ -18,6 +18,9 @@
     """One answer as it comes in: `read` returns true once it is whole."""
 
     def __init__(self) -> None:
+        self.begin()
+
+    def begin(self) -> None:
         self.status = 0
         self.keeps = True
         self.lines = 0
@@ -29,6 +32,9 @@
             line = buffer.line(LONGEST)
             if line is None:
                 return False
+            if not line and 100 <= self.status < 200:
+                self.begin()  # the final answer is still to come
+                continue
             self.lines += 1
             if self.lines > MOST:
                 raise Unreadable(f"a head of more than {MOST} lines")
@@ -38,9 +44,6 @@
                 self.header(line)
             else:
                 self.left = 0 if self.status in (204, 304) else self.length
-        if 100 <= self.status < 200:
-            self.__init__()  # type: ignore[misc]
-            return self.read(buffer)
         passed = min(self.left, len(buffer))
         buffer.skip(passed)
         self.left -= passed
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -86,7 +86,6 @@
         self.route = Route(scheduler, self.labels, self.send, self.relay, self.book)
         # who hears whom
         self.clients.take_in, self.clients.gone = self.take_in, self.gone
-        self.clients.emptied = self.scheduler.soon
         self.take_in.admit = self.admit.arrive
         self.admit.carry, self.admit.tell = self.route.carry, self.tell
         self.admit.unready, self.admit.fault = self.book.shed, self.book.fault
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -42,7 +42,10 @@
             raise Malformed(f"{path} is not JSON: {trouble}") from None
     if not isinstance(told, dict):
         raise Malformed(f"{path} holds no object")
-    setup = Setup(flatten(told.get("settings", {})))
+    try:
+        setup = Setup(flatten(told.get("settings", {})))
+    except RecursionError:
+        raise Malformed("settings are nested too deeply") from None
     limits = told.get("limits", {})
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
     stop = told.get("stop_ms", 3000)
--- a/birchslip/net/stages/admit.py
+++ b/birchslip/net/stages/admit.py
@@ -34,7 +34,6 @@
 
     def hear(self, passage: Passage, event: Event) -> None:
         self.news.append((passage, event))
-        self.scheduler.soon()
 
     def tick(self, gauges: Gauges) -> None:
         self.gauges = gauges
@@ -61,6 +60,8 @@
             gauges, self.gauges = self.gauges, None
             self.driver.tick(gauges)
         self.driver.settle()
+        if self.news:
+            self.scheduler.soon()
 
     def pass_on(self, driver: Driver, passage: Passage, event: Event | None) -> None:
         transaction = passage.transaction
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -357,6 +357,32 @@
     assert place.process.wait(PATIENCE) == 0 and time.monotonic() - began < 5
 
 
+def test_a_pause_loses_nothing(start):
+    place = start()
+    router = place.router()
+    held = router.call("lookup", b"hold")
+    name = place.order("launch")["id"]
+    place.process.send_signal(signal.SIGSTOP)
+    place.agent.end(name)
+    after = router.call("lookup", b"1")
+    place.process.send_signal(signal.SIGCONT)
+    assert router.answer(held)[0] is None and router.answer(after)[0] is None
+
+
+def test_one_that_was_killed_begins_again_from_nothing_at_the_same_address(start):
+    place = start()
+    router = place.router()
+    router.call("order", b"hold", opkey="k1")
+    place.order("launch")
+    place.process.kill()
+    with pytest.raises((EOFError, ConnectionResetError)):
+        router.message()
+    place = start(listen=place.address)
+    router = place.router()
+    assert router.answer(router.call("order", b"1", opkey="k1"))[0] is None
+    assert place.counters()["admit.repeats"] == 0
+
+
 def test_a_second_notice_ends_it_at_once(start):
     place = start(stop_ms=60_000)
     router = place.router()
