--- a/examples/toy.py
+++ b/examples/toy.py
@@ -143,7 +143,8 @@
         if "hold" in words and not calls:
             return
         span = next((int(word) for word in words if word.isdigit()), 10) / 1000
-        timer = threading.Timer(span / 2, self.call if calls else self.end, (name,))
+        part = span / 2 if "call" in words else span
+        timer = threading.Timer(part, self.call if calls else self.end, (name,))
         timer.daemon = True
         timer.start()
 
