--- a/birchslip/__main__.py
+++ b/birchslip/__main__.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import sys
+import traceback
 
 from .deployment import Malformed
 from .net.program import Program
@@ -23,6 +24,10 @@
     except OSError as trouble:
         print(f"birchslip: {trouble}", file=sys.stderr)
         return 1
+    except Exception:
+        # One in a task or a transaction's stages is caught there: this one is the scheduler's own.
+        print(f"birchslip: ended by a fault\n{traceback.format_exc()}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -212,6 +212,26 @@
     assert place.counters()["vault.unreached"] < 30  # guards against a spin while it is down
 
 
+def test_an_idle_connection_that_the_vault_closes_is_no_trouble(start):
+    place = start()
+    router = place.router()
+    assert router.answer(router.call("order", b"1 call", opkey="k1"))[0] is None
+    place.vault.drop()
+    assert router.answer(router.ping())[0] is None  # a pass in which the end has been read
+    assert router.answer(router.call("order", b"1 call", opkey="k2"))[0] is None
+    seen = place.counters()
+    assert (seen["vault.links"], seen["vault.lost"], seen["relay.honoured"]) == (2, 0, 2)
+
+
+def test_a_catalog_that_is_down_costs_reports_alone(start):
+    place = start()
+    place.catalog.stop()
+    place.line("report to the catalog missed")
+    router = place.router()
+    assert router.answer(router.call("lookup", b"1"))[0] is None
+    assert place.counters()["catalog.missed"] >= 1
+
+
 def test_a_call_without_a_reply_is_given_up(start):
     place = start()
     place.vault.word = "silent"
