Fold what the program wrote twice and take out state that could be derived

Found on reading the change once more; no change of behaviour meant but one, named last.

- One step of a connection (wait, flush, read) serves `Connection.serve` and the catalog's report, which had a copy with small variations; masks are registered in one place, tasks and timers guarded by one function.
- Whether a run or a call is out is no longer kept beside the agent's runs and the call's timer, which say so.
Whether a label's entry stands is asked in one place; `claim` had a look-up that nothing could reach.
- A fault's trace was put together in three places and is now in the log, whose own step for traces nothing used.
- The agent's lines, a unit for a millisecond, the types of the routers' messages and the vault's words each stand once.
A passage is taken off its connection by `book` alone.

What differs: a report's connection that only errs or hangs up is now read at once, as any other, and not waited out for half a second.

--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 SECOND = 10_000
+MS = SECOND // 1000
 
 
 class Kind(Enum):
--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -13,7 +13,7 @@
 from .connection import Connection, connect
 from .counters import Counters
 from .log import Log
-from .scheduler import READ, Scheduler
+from .scheduler import Scheduler
 
 EVERY = 10_000  # a report a second: two may fail before the entry lapses
 LIMIT = 5_000  # a report that is not answered within half a second is missed
@@ -68,16 +68,11 @@
             whole = answer.read(buffer)
 
         while not whole:
-            events = self.scheduler.wait(link.descriptor, link.mask(), limit)
-            if not link.open:
+            events = link.step(take, limit)
+            if not link.open and not whole:
                 raise OSError(link.why)
             if not events and self.scheduler.now >= limit:
                 raise OSError("no answer in time")
-            link.flush()
-            if link.open and events & READ:
-                link.read(take)
-            if not link.open and not whole:
-                raise OSError(link.why)
         if answer.status != 204:
             raise OSError(f"answered {answer.status}")
         if not answer.keeps:
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from ..deployment import Malformed, number, whole
+from ..interface import MS
 from .buffer import Buffer, Unreadable
 from .connection import Connection, Pool
 from .counters import Counters
@@ -19,10 +20,8 @@
 from .passage import Passage, Told
 from .scheduler import READ, Scheduler
 
-CALL, REPLY, NEWS = 0, 1, 2  # types of message
 SHED, WRITTEN_OFF = "Overloaded", "Failed"  # the words of answers that are no result
 HEX = frozenset("0123456789abcdef")
-MS = 10
 BODY = 2048  # the largest body
 NEED = 1 << 22  # KB: far past what any transaction books
 OPEN_MOST = 32  # open transactions on one connection
@@ -36,6 +35,12 @@
 SPARE = 20_000  # a connection told that it closes is closed here after two seconds, if nothing is open on it
 
 
+class Type:
+    """What a message is, by its first item."""
+
+    CALL, REPLY, NEWS = 0, 1, 2
+
+
 def messages(buffer: Buffer) -> tuple[list[Any], str]:
     """All whole messages that have been read, and what is wrong behind them; what is cut off is left."""
     read = []
@@ -106,23 +111,23 @@
 
     def message(self, message: Any) -> None:
         match message:
-            case [0, int(), str(method), list(params)] if self.highest < message[1] < 1 << 32:
+            case [Type.CALL, int(), str(method), list(params)] if self.highest < message[1] < 1 << 32:
                 at = self.highest = message[1]
                 if method == "ping":
                     self.clients.counters.count("clients.pings")
-                    self.send(pack([REPLY, at, None, [self.clients.good, {}]]))
+                    self.send(pack([Type.REPLY, at, None, [self.clients.good, {}]]))
                 elif len(self.open) >= OPEN_MOST:
                     self.clients.counters.count("clients.too_many")
                     self.write_off(at, f"more than {OPEN_MOST} open transactions")
                 else:
                     self.clients.take_in(self, at, partial(read_told, method, params))
-            case [2, "abort", [int(at)]]:
-                passage = self.open.pop(at, None)
+            case [Type.NEWS, "abort", [int(at)]]:
+                passage = self.open.get(at)
                 if passage is not None:
                     self.clients.gone(passage)
-            case [2, str(), list()]:
+            case [Type.NEWS, str(), list()]:
                 self.clients.counters.count("clients.unknown_news")
-            case [0, int(), *_]:
+            case [Type.CALL, int(), *_]:
                 raise Unreadable(f"a call numbered {message[1]} after {self.highest}, or of a wrong form")
             case _:
                 raise Unreadable("a message of no known form")
@@ -130,17 +135,17 @@
     # ---- answers -------------------------------------------------------------------------------------------
 
     def honour(self, number: int, result: bytes) -> None:
-        self.send(pack([REPLY, number, None, [result, {}]]))
+        self.send(pack([Type.REPLY, number, None, [result, {}]]))
 
     def shed(self, number: int, after: int, last: bool) -> None:
         """When to come back, in whole milliseconds rounded up; `last` asks not to try elsewhere."""
         fields = {"holdoff": str(-(-after // MS))} if after else {}
         if last:
             fields["nomore"] = "1"
-        self.send(pack([REPLY, number, [SHED, fields], None]))
+        self.send(pack([Type.REPLY, number, [SHED, fields], None]))
 
     def write_off(self, number: int, why: str = WRITTEN_OFF) -> None:
-        self.send(pack([REPLY, number, [why, {}], None]))
+        self.send(pack([Type.REPLY, number, [why, {}], None]))
 
     def send(self, message: bytes) -> None:
         self.connection.write(message)
@@ -150,7 +155,7 @@
         """The router sends nothing new then, and closes it once everything has been answered."""
         if not self.closing and self.connection.open:
             self.closing = True
-            self.connection.write(pack([NEWS, "closing", []]))
+            self.connection.write(pack([Type.NEWS, "closing", []]))
             self.clients.counters.count("clients.told_closing")
             now = self.clients.scheduler.now
             self.clients.scheduler.at(now + SPARE, self.close_spare)
@@ -235,7 +240,6 @@
             self.counters.count("clients.closed")
             for passage in list(client.open.values()):
                 self.gone(passage)
-            client.open.clear()
 
     def moved(self, client: Client) -> None:
         if client in self.all:
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -54,19 +54,22 @@
         """
         while self.open:
             until = self.last + idle if idle else None
-            events = self.scheduler.wait(self.descriptor, self.mask(), until)
-            if not self.open:
-                break
-            if events & WRITE:
-                self.flush()
-            if self.open and events & (READ | ENDED):
-                self.read(take)
-            if idle and not events and self.scheduler.now >= self.last + idle:
+            events = self.step(take, until)
+            if self.open and idle and not events and self.scheduler.now >= self.last + idle:
                 if not keep():
                     self.close("idle")
                 self.last = self.scheduler.now
         return self.why
 
+    def step(self, take: Callable[[Buffer], None], until: int | None = None) -> int:
+        """Wait once and do what it is ready for; 0 when the time is up or it was closed meanwhile."""
+        events = self.scheduler.wait(self.descriptor, self.mask(), until)
+        if self.open and events & WRITE:
+            self.flush()
+        if self.open and events & (READ | ENDED):
+            self.read(take)
+        return events
+
     def read(self, take: Callable[[Buffer], None]) -> None:
         """One read; what it holds that can't be read closes this connection, and no other."""
         try:
--- a/birchslip/net/labels.py
+++ b/birchslip/net/labels.py
@@ -36,15 +36,17 @@
 
     def find(self, name: str, arrived: int) -> Passage | None:
         """The try that one which arrived then repeats: the one that ran, else the one with the entry."""
+        entry = self.standing(name, arrived)
+        return None if entry is None else entry.ran or entry.holder
+
+    def standing(self, name: str, arrived: int) -> Label | None:
         entry = self.table.get(name)
-        if entry is None or arrived > entry.until:
-            return None
-        return entry.ran or entry.holder
+        return entry if entry is not None and arrived <= entry.until else None
 
     def remember(self, passage: Passage, until: int, now: int) -> None:
         self.purge(now)
-        entry = self.table.get(passage.label_name)
-        if entry is None or passage.stamp > entry.until:
+        entry = self.standing(passage.label_name, passage.stamp)
+        if entry is None:
             entry = self.table[passage.label_name] = Label(passage.label_name, passage, until)
         entry.holder, entry.until = passage, max(until, entry.until)
         passage.label = entry
@@ -63,13 +65,10 @@
 
     def claim(self, passage: Passage) -> bool:
         """Whether this try may run: only one may, for as long as the entry stands."""
-        entry = passage.label or self.table.get(passage.label_name)
-        if entry is None:
-            return False
-        if entry.ran is not None and entry.ran is not passage:
+        entry = passage.label
+        if entry is None or (entry.ran is not None and entry.ran is not passage):
             return False
         entry.ran = passage
-        passage.label = entry
         entry.until = max(entry.until, passage.stamp + passage.transaction.profile.window)
         return True
 
--- a/birchslip/net/log.py
+++ b/birchslip/net/log.py
@@ -4,6 +4,7 @@
 
 import os
 import select
+import traceback
 from collections import deque
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 LINE = 2048  # well under what a pipe takes whole
 KEPT = 256  # lines; more are dropped and counted
+TRACE = 1500  # characters of a trace
 RATE = 10_000  # a kind of fault is logged at most once a second
 
 
@@ -68,7 +70,6 @@
             processors=[
                 structlog.processors.add_log_level,
                 structlog.processors.TimeStamper(fmt="iso", utc=True),
-                structlog.processors.format_exc_info,
                 structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
             ],
             logger_factory=lambda *_: Plain(self.sink),
@@ -91,6 +92,10 @@
         passed = self.passed.pop(event, 0)
         self.logger.warning(event, **more, **({"passed_over": passed} if passed else {}))
 
+    def trace(self, event: str, trouble: Exception, **more: Any) -> None:
+        """A fault with the end of its trace, which says what and where."""
+        self.fault(event, **more, trace="".join(traceback.format_exception(trouble))[-TRACE:])
+
 
 class Plain:
     """The logger that structlog wraps."""
--- a/birchslip/net/messagepack.py
+++ b/birchslip/net/messagepack.py
@@ -16,6 +16,7 @@
     """The value goes on past what has been read."""
 
 
+ALONE = {0xC0: None, 0xC2: False, 0xC3: True}
 FIXED = {
     0xCA: struct.Struct(">f"),
     0xCB: struct.Struct(">d"),
@@ -61,8 +62,8 @@
         return unpack_array(view, at, end, first & 0x0F, depth)
     if first <= 0xBF:
         return unpack_text(view, at, end, first & 0x1F)
-    if first in (0xC0, 0xC2, 0xC3):
-        return {0xC0: None, 0xC2: False, 0xC3: True}[first], at
+    if first in ALONE:
+        return ALONE[first], at
     if first in FIXED:
         form = FIXED[first]
         if at + form.size > end:
--- a/birchslip/net/passage.py
+++ b/birchslip/net/passage.py
@@ -44,13 +44,11 @@
     label: Label | None = None
     answered: bool = False
     launched: bool = False  # since then nobody may say that it never ran
-    running: bool = False
     # the call that its run waits for: the notice's number and body, and what was asked of the vault
     need: int = 0
     need_body: bytes = b""
-    calling: bool = False
     call_at: int = 0
-    call_timer: Timer | None = None
+    call_timer: Timer | None = None  # set while the call is out
     # the last order to the agent that no notice has answered yet: given again if the link is lost meanwhile
     order: bytes = b""
 
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import time
-import traceback
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
@@ -253,4 +252,4 @@
     def fault(self, name: str, trouble: Exception) -> None:
         """What a task or a timer raised: it ends that alone."""
         self.counters.count("program.faults")
-        self.log.fault("a fault", task=name, trace="".join(traceback.format_exception(trouble))[-1500:])
+        self.log.trace("a fault", trouble, task=name)
--- a/birchslip/net/scheduler.py
+++ b/birchslip/net/scheduler.py
@@ -66,22 +66,13 @@
 
     def spawn(self, name: str, work: Callable[[], None]) -> greenlet:
         """A task of its own; what it raises is told to `fault` and ends nothing else."""
-
-        def guarded(_: Any) -> None:
-            try:
-                work()
-            except Exception as trouble:
-                self.fault(name, trouble)
-
-        task = greenlet(guarded, self.hub)
+        task = greenlet(lambda _: self.guard(work, name), self.hub)
         self.ready.append((task, None))
         return task
 
     def wait(self, descriptor: int, mask: int, until: int | None = None) -> int:
         """Wait for a descriptor; what it is ready for, 0 when the time is up or it was woken."""
-        if self.masks.get(descriptor) != mask:
-            self.masks[descriptor] = mask
-            self.poll.register(descriptor, mask)
+        self.watch(descriptor, mask)
         self.waiting[descriptor] = getcurrent()
         timer = None if until is None else self.at(until, lambda: self.wake(descriptor))
         events: int = self.hub.switch()
@@ -91,7 +82,11 @@
 
     def widen(self, descriptor: int, mask: int) -> None:
         """Let the task that waits for this descriptor be woken for more."""
-        if descriptor in self.waiting and self.masks.get(descriptor) != mask:
+        if descriptor in self.waiting:
+            self.watch(descriptor, mask)
+
+    def watch(self, descriptor: int, mask: int) -> None:
+        if self.masks.get(descriptor) != mask:
             self.masks[descriptor] = mask
             self.poll.register(descriptor, mask)
 
@@ -181,11 +176,11 @@
             else:
                 self.guard(action)
 
-    def guard(self, action: Callable[[], None]) -> None:
+    def guard(self, action: Callable[[], None], name: str = "") -> None:
         try:
             action()
         except Exception as trouble:
-            self.fault(getattr(action, "__qualname__", "action"), trouble)
+            self.fault(name or getattr(action, "__qualname__", "action"), trouble)
 
     def drop_timer(self) -> None:
         self.cancelled += 1
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -13,7 +13,7 @@
 from functools import partial
 from typing import Any
 
-from ..interface import Kind, Outcome
+from ..interface import MS, Kind, Outcome
 from .buffer import Buffer, Unreadable
 from .connection import Connection, connect
 from .counters import Counters
@@ -35,8 +35,12 @@
 }
 
 
+def line_of(**parts: object) -> bytes:
+    return json.dumps(parts, separators=(",", ":")).encode() + b"\n"
+
+
 def span(milliseconds: Any) -> int:
-    return int(float(milliseconds) * 10)
+    return int(float(milliseconds) * MS)
 
 
 def whole(told: dict[str, Any]) -> int:
@@ -75,7 +79,8 @@
     # ---- orders --------------------------------------------------------------------------------------------
 
     def order(self, **parts: object) -> bytes:
-        line = json.dumps(parts, separators=(",", ":")).encode() + b"\n"
+        """Sent at once on a link that is settled; kept by the caller, it is given again on the next one."""
+        line = line_of(**parts)
         if self.link is not None and self.settled:
             self.link.write(line)
         return line
@@ -96,8 +101,7 @@
         passage.order = self.order(op="forgo", id=passage.name, seq=passage.need)
 
     def sample(self) -> None:
-        if self.link is not None and self.settled:
-            self.order(op="sample", tag="tick")
+        self.order(op="sample", tag="tick")
 
     def cores_used(self) -> float | None:
         """The gauge, if it was read lately."""
@@ -130,7 +134,7 @@
     def serve(self, link: Connection) -> str:
         self.link, self.settled = link, False
         self.counters.count("agent.links")
-        link.write(json.dumps({"op": "subscribe", "seq": self.last}).encode() + b"\n")
+        link.write(line_of(op="subscribe", seq=self.last))
         try:
             return link.serve(lambda buffer: self.take(link, buffer))
         finally:
@@ -181,8 +185,7 @@
         self.began = began
         self.fences += 1
         if self.link is not None:
-            tag = f"fence-{self.fences}"
-            self.link.write(json.dumps({"op": "sample", "tag": tag}).encode() + b"\n")
+            self.link.write(line_of(op="sample", tag=f"fence-{self.fences}"))
 
     def notice(self, number: int, name: str | None, act: Callable[[], None]) -> None:
         """Each notice is taken once, in its turn."""
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..deployment import Malformed, Setup, deployment, flatten
-from ..interface import Deployment
+from ..interface import MS, Deployment
 
 Address = tuple[str, int]
 
@@ -58,7 +58,7 @@
         agent=address(text(told, "agent"), "agent"),
         catalog=address(text(told, "directory"), "directory"),
         vault=address(text(told, "vault"), "vault") if "vault" in told else None,
-        stop=int(stop * 10),
+        stop=int(stop * MS),
         sockets=int(sockets),
         deployment=deployment(seed(told), setup),
         profiles=setup.names("classes"),
--- a/birchslip/net/stages/book.py
+++ b/birchslip/net/stages/book.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -31,13 +30,8 @@
         if self.close(passage, "honoured"):
             passage.client.honour(passage.number, result)
 
-    def err(self, passage: Passage) -> None:
-        """Its run came to nothing."""
-        if self.close(passage, "erred"):
-            passage.client.write_off(passage.number)
-
-    def write_off(self, passage: Passage) -> None:
-        if self.close(passage, "written_off"):
+    def write_off(self, passage: Passage, what: str = "written_off") -> None:
+        if self.close(passage, what):
             passage.client.write_off(passage.number)
 
     def shed(self, passage: Passage, after: int = 0, last: bool = False) -> None:
@@ -58,7 +52,7 @@
         if conclusion.outcome is Outcome.HONOURED:
             self.honour(passage, conclusion.result)
         else:
-            self.err(passage)
+            self.write_off(passage, "erred")
 
     # ---- labels --------------------------------------------------------------------------------------------
 
@@ -93,9 +87,5 @@
     def fault(self, passage: Passage, trouble: Exception) -> None:
         """An exception in its stages: it alone is written off, and the program goes on."""
         self.counters.count("book.faults")
-        self.log.fault(
-            "a fault in a transaction's stages",
-            id=passage.name,
-            trace="".join(traceback.format_exception(trouble))[-1500:],
-        )
+        self.log.trace("a fault in a transaction's stages", trouble, id=passage.name)
         self.write_off(passage)
--- a/birchslip/net/stages/relay.py
+++ b/birchslip/net/stages/relay.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ...interface import CallEnded, NeedsCall, Outcome
+from ...interface import MS, CallEnded, NeedsCall, Outcome
 from ..counters import Counters
 from ..passage import Passage
 from ..scheduler import Scheduler
@@ -29,9 +29,9 @@
     def call(self, passage: Passage, limit: int) -> None:
         self.counters.count("relay.called")
         now = self.scheduler.now
-        passage.calling, passage.call_at = True, now
+        passage.call_at = now
         passage.call_timer = self.scheduler.at(now + limit, lambda: self.guarded_overdue(passage))
-        self.vault.ask(passage, max(1, limit // 10), passage.need_body)
+        self.vault.ask(passage, max(1, limit // MS), passage.need_body)
 
     def skip(self, passage: Passage) -> None:
         self.counters.count("relay.skipped")
@@ -50,14 +50,13 @@
 
     def drop(self, passage: Passage) -> None:
         """Its transaction or its run is over: no call is left behind."""
-        if passage.calling:
+        if passage.call_timer is not None:
             self.counters.count("relay.dropped")
             self.rest(passage)
             self.vault.unask(passage)
 
     @staticmethod
     def rest(passage: Passage) -> None:
-        passage.calling = False
         if passage.call_timer is not None:
             passage.call_timer.cancel()
             passage.call_timer = None
--- a/birchslip/net/stages/send.py
+++ b/birchslip/net/stages/send.py
@@ -38,13 +38,13 @@
             self.log.fault("an id that runs already", id=passage.name)
             self.ended(passage, Outcome.ERRED, b"", 0)
             return
-        passage.launched = passage.running = True
+        passage.launched = True
         self.counters.count("send.launched")
         self.counters.peak("send.running", len(self.agent.runs) + 1)
         self.agent.launch(passage)
 
     def stop(self, passage: Passage) -> None:
-        if passage.running:
+        if self.agent.runs.get(passage.name) is passage:
             self.counters.count("send.stopped")
             self.agent.freeze(passage)
 
@@ -55,7 +55,6 @@
 
     def ended(self, passage: Passage, outcome: Outcome, result: bytes, elapsed: int) -> None:
         self.counters.count(f"send.{outcome.value}")
-        passage.running = False
         self.relay.drop(passage)
         conclusion = Conclusion(outcome, result)
         waiting = self.labels.conclude(passage, conclusion)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections.abc import Callable
 
 from ...deployment import Malformed
@@ -40,7 +39,7 @@
             return
         except Exception as trouble:
             self.counters.count("book.faults")
-            self.log.fault("a fault in taking in", trace="".join(traceback.format_exception(trouble))[-1500:])
+            self.log.trace("a fault in taking in", trouble)
             client.write_off(number)
             return
         self.counters.count("take_in.taken")
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -29,15 +29,15 @@
 def reply_line(line: bytes) -> tuple[str, bytes, int]:
     """`ID yes LENGTH` or `ID WORD`: the id, the word, and the length of the reply that follows."""
     match line.split(b" "):
-        case [name, b"yes", length] if length.isdigit() and len(length) <= 6 and int(length) <= REPLY:
+        case [name, b"yes" as word, length] if length.isdigit() and len(length) <= 6 and int(length) <= REPLY:
             size = int(length)
-        case [name, (b"notnow" | b"failed" | b"overdue" | b"pointless")]:
+        case [name, word] if word in OUTCOMES and word != b"yes":
             size = 0
         case _:
             raise Unreadable(f"not a reply: {line[:80]!r}")
     if not name.isalnum() or not name.isascii():
         raise Unreadable(f"not an id: {name[:40]!r}")
-    return name.decode(), line.split(b" ")[1], size
+    return name.decode(), word, size
 
 
 class Vault:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -216,7 +216,7 @@
 
 
 class Router:
-    """One connection of a router; `answers` waits until all that was asked has been answered."""
+    """One connection of a router; `answer` waits for what became of one transaction."""
 
     def __init__(self, address: str, patience: float = 10.0) -> None:
         host, _, port = address.rpartition(":")
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -7,6 +7,7 @@
     Attach,
     Call,
     CallEnded,
+    Deployment,
     Ended,
     Forget,
     Kind,
@@ -348,8 +349,6 @@
 
 
 def site():
-    from birchslip.interface import Deployment
-
     here = ("127.0.0.1", 1)
     deployment = Deployment([REDOABLE], cores=2)
     return Site("t", here, here, here, None, 3 * SECOND, 64, deployment, ["lookup"], [], [])
