Take a new configuration over on SIGHUP; give each call to the vault its own connection

Ruled out: a crash of the program's own (the log ends in the middle of service, no trace).

Changed: SIGHUP is ignored until the program listens, then reads the file again; agent, vault, catalog and stop_ms are taken over, what else differs is named, a file that can't be read changes nothing. The agent's link is opened at the new address with the last notice read. A call that is out ends on the connection it has: for that each call has its own, which also keeps a spoilt reply or a forgotten idle connection to one call (vault.py kept one connection for all).

--- a/birchslip/__main__.py
+++ b/birchslip/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 import traceback
 
@@ -11,6 +12,9 @@
 
 
 def main() -> int:
+    signal.signal(
+        signal.SIGHUP, signal.SIG_IGN
+    )  # until the program listens for it: nothing to read again yet
     try:
         site = read_site(os.environ)
         program = Program(site)
--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -31,10 +31,15 @@
         good: Callable[[], bool],
     ) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
-        self.address, self.good = address, good
+        self.good = good
         self.path = f"/catalog/register/{quote(name, safe='')}"
-        self.host = f"{address[0]}:{address[1]}"
         self.link: Connection | None = None
+        self.move(address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Reports go there from the next one on."""
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        self.drop()
 
     def keep_reporting(self) -> None:
         while True:
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -13,8 +13,9 @@
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.declined agent.asides agent.malformed agent.samples "
-    "vault.links vault.unreached vault.lost vault.malformed vault.late "
-    "catalog.reports catalog.missed"
+    "vault.links vault.unreached vault.lost vault.malformed vault.strays "
+    "catalog.reports catalog.missed "
+    "program.reloads program.not_reloaded"
 ).split()
 
 
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import resource
 import signal
 import socket
@@ -10,6 +11,7 @@
 from dataclasses import replace
 from enum import Enum
 
+from ..deployment import Malformed
 from ..interface import Gauges, Health, Idle, Notice, Tick
 from ..interface import Log as Remark
 from .catalog import Catalog
@@ -20,7 +22,7 @@
 from .passage import Passage
 from .scheduler import READ, Scheduler
 from .servers import Agent
-from .site import Site
+from .site import MOVING, Site, read_site
 from .stages.admit import Admit
 from .stages.book import Book
 from .stages.relay import Relay
@@ -32,6 +34,7 @@
 SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
 END_AHEAD = 500  # all is closed 50 ms before the process would be killed
 SHUT_AHEAD = 3_000  # and routers hear it 300 ms before, however long the grace
+CALLS_SHARE = 8  # of the descriptors, one in so many is for calls
 AGAIN = 1_000  # a task that had a fault begins again after 100 ms
 
 
@@ -70,10 +73,11 @@
         self.counters = Counters()
         scheduler, counters, log = self.scheduler, self.counters, self.log
         descriptors = min(site.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        calls = max(4, descriptors // CALLS_SHARE)
         # peers
-        self.clients = Clients(scheduler, counters, log, descriptors)
+        self.clients = Clients(scheduler, counters, log, descriptors - calls)
         self.agent = Agent(scheduler, counters, log, site.agent, site.gauges)
-        self.vault = Vault(scheduler, counters, log, site.vault)
+        self.vault = Vault(scheduler, counters, log, site.vault, calls)
         self.catalog = Catalog(scheduler, counters, log, site.catalog, site.name, self.passing)
         # stages
         self.labels = Labels(max(profile.outer for profile in site.deployment.profiles))
@@ -114,6 +118,7 @@
         try:
             self.scheduler.run()
         finally:
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)  # its default would end what is ending already
             self.report()
             self.log.sink.finish()
 
@@ -195,7 +200,7 @@
         self.signals.setblocking(False)
         self.wakeup.setblocking(False)
         signal.set_wakeup_fd(self.wakeup.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
 
@@ -206,12 +211,35 @@
                 numbers = self.signals.recv(64)
             except BlockingIOError:
                 continue
+            if signal.SIGHUP in numbers:
+                self.reload()
             for number in numbers:
                 if number == signal.SIGUSR1:
                     self.report()
                 elif number in (signal.SIGTERM, signal.SIGINT):
                     self.leave()
 
+    def reload(self) -> None:
+        """The configuration is read again; one that can't be read leaves the old one in force."""
+        try:
+            later = read_site(os.environ)
+        except (Malformed, OSError) as trouble:
+            self.counters.count("program.not_reloaded")
+            self.log.info("the configuration is left as it was", why=str(trouble))
+            return
+        fixed = self.site.fixed(later)
+        if fixed:
+            self.log.info("not taken over while running", parts=",".join(fixed))
+        taken = {part: getattr(later, part) for part in MOVING}
+        self.site = replace(self.site, **taken)
+        self.agent.move(later.agent)
+        self.vault.move(later.vault)
+        self.catalog.move(later.catalog)
+        self.counters.count("program.reloads")
+        peers = {"agent": later.agent, "catalog": later.catalog, "vault": later.vault}
+        named = {what: f"{where[0]}:{where[1]}" for what, where in peers.items() if where is not None}
+        self.log.info("configuration taken over", **named)
+
     def report(self) -> None:
         """The counters, on request and at exit: a line for each peer and stage."""
         for part, counts in self.counters.report().items():
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -114,22 +114,37 @@
         """The task that opens the link, reads it to its end and opens it again."""
         wait = WAIT_FIRST
         while True:
+            address = self.address
             try:
-                link = Connection(self.scheduler, connect(self.scheduler, self.address), 2 * LINE, BOUND_OUT)
+                link = Connection(self.scheduler, connect(self.scheduler, address), 2 * LINE, BOUND_OUT)
             except OSError as trouble:
                 self.log.fault("the agent can't be reached", why=str(trouble))
-                self.scheduler.sleep(self.scheduler.now + wait)
-                wait = min(2 * wait, WAIT_MOST)
+                if address == self.address:
+                    self.scheduler.sleep(self.scheduler.now + wait)
+                    wait = min(2 * wait, WAIT_MOST)
+                continue
+            if address != self.address:
+                link.close("moved")
                 continue
             heard = self.last
             why = self.serve(link)
             if link.malformed:
                 self.counters.count("agent.malformed")
-            self.counters.count("agent.lost")
-            self.log.fault("link to the agent lost", why=why, last=self.last, runs=len(self.runs))
-            wait = WAIT_FIRST if self.last > heard or self.settled else min(2 * wait, WAIT_MOST)
+            if address == self.address:
+                self.counters.count("agent.lost")
+                self.log.fault("link to the agent lost", why=why, last=self.last, runs=len(self.runs))
+                wait = WAIT_FIRST if self.last > heard or self.settled else min(2 * wait, WAIT_MOST)
             self.link, self.settled = None, False
-            self.scheduler.sleep(self.scheduler.now + wait)
+            if address == self.address:
+                self.scheduler.sleep(self.scheduler.now + wait)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The agent is now reached there: the next link goes on where this one stood."""
+        if address != self.address:
+            self.address = address
+            self.log.info("the agent has moved", last=self.last, runs=len(self.runs))
+            if self.link is not None:
+                self.link.close("moved")
 
     def serve(self, link: Connection) -> str:
         self.link, self.settled = link, False
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -1,16 +1,17 @@
-"""Where this app server stands: read once at start, from the JSON that `PROXY_CONFIG` names."""
+"""Where this app server stands: the JSON that `PROXY_CONFIG` names, read at the start and on SIGHUP."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from ..deployment import Malformed, Setup, deployment, flatten
 from ..interface import MS, Deployment
 
 Address = tuple[str, int]
+MOVING = ("agent", "catalog", "vault", "stop")  # what a running program takes over
 
 
 @dataclass(slots=True)
@@ -29,6 +30,11 @@
     tenants: list[str]
     gauges: list[str]
 
+    def fixed(self, later: Site) -> list[str]:
+        """The parts in which a later reading differs and that stand as long as the program runs."""
+        now, then = asdict(self), asdict(later)
+        return [part for part in now if part not in MOVING and now[part] != then[part]]
+
 
 def read_site(environment: Mapping[str, str]) -> Site:
     """Malformed or OSError says what is wrong, in one line."""
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -1,8 +1,14 @@
-"""The vault: calls on behalf of runs, in lines on one connection that is opened when there is one to make."""
+"""The vault: calls on behalf of runs, each on a connection of its own that is closed with its reply.
+
+A connection that was kept open may have been forgotten by the vault, which shows only at the next call, and
+what spoils one reply spoils all that share its connection. One of its own meets both kinds of trouble: what
+goes wrong on it concerns this call alone, and one that was refused proves that the call never ran.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from ..interface import Outcome
 from .buffer import Buffer, Unreadable
@@ -14,9 +20,9 @@
 
 LINE = 256
 REPLY = 65_536  # the largest reply read
-BOUND_OUT = 4 << 20
+STRAYS = 8  # replies to other calls that are passed over before this one's
+STALL = 2_500  # a reply that has begun goes on within 250 ms, or what has come of it can't be right
 WAIT_FIRST, WAIT_MOST = 100, 2_000  # between tries at a vault that is down: 10 ms at first, 200 ms at most
-IDLE = 80_000  # closed here after eight seconds without a call, before the vault does after ten
 OUTCOMES = {
     b"yes": Outcome.HONOURED,
     b"notnow": Outcome.SATURATED,
@@ -40,110 +46,136 @@
     return name.decode(), word, size
 
 
+class Asked:
+    """One call and what has been read for it."""
+
+    def __init__(self, passage: Passage, message: bytes) -> None:
+        self.passage, self.message = passage, message
+        self.link: Connection | None = None
+        self.head: tuple[str, bytes, int] | None = None  # of the reply whose body comes next
+        self.strays = 0
+        self.outcome: Outcome | None = None
+        self.body = b""
+
+    def take(self, buffer: Buffer) -> None:
+        """Its reply, once it is whole; one to another call, as told again, is passed over."""
+        while self.outcome is None:
+            if self.head is None:
+                line = buffer.line(LINE)
+                if line is None:
+                    return
+                self.head = reply_line(line)
+            name, word, length = self.head
+            if word == b"yes":
+                if len(buffer) < length + 2:
+                    return
+                body = buffer.take(length)
+                if buffer.take(2) != b"\r\n":
+                    raise Unreadable("a reply longer than it said")
+            else:
+                body = b""
+            self.head = None
+            if name == self.passage.name:
+                self.outcome, self.body = OUTCOMES[word], body
+                return
+            self.strays += 1
+            if self.strays > STRAYS:
+                raise Unreadable(f"{self.strays} replies to other calls")
+
+
 class Vault:
     """`ended` hears how each call ended, once; of one that was given up it hears nothing."""
 
     def __init__(
-        self, scheduler: Scheduler, counters: Counters, log: Log, address: tuple[str, int] | None
+        self,
+        scheduler: Scheduler,
+        counters: Counters,
+        log: Log,
+        address: tuple[str, int] | None,
+        most: int = 32,
     ) -> None:
         self.scheduler, self.counters, self.log, self.address = scheduler, counters, log, address
-        self.link: Connection | None = None
-        self.opening = False
+        self.most = most  # connections, and so calls, at a time
         self.wait = WAIT_FIRST
         self.not_before = 0
-        self.calls: dict[str, Passage] = {}
-        self.first: dict[str, bytes] = {}  # asked while the connection opens
-        self.reply: tuple[str, int] | None = None  # whose reply comes next, and its length
+        self.calls: dict[str, Asked] = {}
         self.ended: Callable[[Passage, Outcome, bytes], None]
 
     def ask(self, passage: Passage, milliseconds: int, body: bytes) -> None:
-        self.calls[passage.name] = passage
         message = b"ask %b %d %d\r\n%b\r\n" % (passage.name.encode(), milliseconds, len(body), body)
-        if self.link is not None and self.link.open:
-            self.link.write(message)
-            return
-        self.first[passage.name] = message
-        if not self.opening:
-            self.opening = True
-            self.scheduler.spawn("vault", self.serve)
+        asked = self.calls[passage.name] = Asked(passage, message)
+        self.scheduler.spawn("vault", partial(self.make, asked))
 
     def unask(self, passage: Passage) -> None:
-        """Give the call up; a reply that still comes is dropped."""
-        if self.calls.pop(passage.name, None) is None:
+        """Give the call up: that its connection is closed says so."""
+        asked = self.calls.pop(passage.name, None)
+        if asked is not None and asked.link is not None:
+            asked.link.close("given up")
+
+    def move(self, address: tuple[str, int] | None) -> None:
+        """New calls go there; those that are out may still end on the connections they have."""
+        self.address, self.wait, self.not_before = address, WAIT_FIRST, 0
+
+    def make(self, asked: Asked) -> None:
+        """The task of one call."""
+        if len(self.calls) > self.most:
+            self.over(asked, Outcome.SATURATED)  # here, not there: it has not been sent
             return
-        if self.first.pop(passage.name, None) is None and self.link is not None:
-            self.link.write(b"unask %b\r\n" % passage.name.encode())
-
-    def serve(self) -> None:
         # A refusal comes at once on this machine, and the decisions may ask again at once: without a wait
         # between the tries, a vault that is down would take all of the processor.
         if self.not_before > self.scheduler.now:
             self.scheduler.sleep(self.not_before)
+        if not self.stands(asked):
+            return
+        address = self.address
         try:
-            if self.address is None:
+            if address is None:
                 raise OSError("no address for it")
-            link = Connection(self.scheduler, connect(self.scheduler, self.address), 2 * REPLY, BOUND_OUT)
+            sock = connect(self.scheduler, address)
         except OSError as trouble:
-            self.opening = False
             self.counters.count("vault.unreached")
-            self.not_before = self.scheduler.now + self.wait
-            self.wait = min(2 * self.wait, WAIT_MOST)
-            self.first.clear()
-            self.end_all(Outcome.UNREACHED, str(trouble))
+            if address == self.address and self.not_before <= self.scheduler.now:
+                self.not_before = self.scheduler.now + self.wait
+                self.wait = min(2 * self.wait, WAIT_MOST)
+            self.lost(asked, Outcome.UNREACHED, str(trouble))
             return
-        self.opening, self.link, self.reply = False, link, None
         self.wait = WAIT_FIRST
-        self.counters.count("vault.links")
-        for message in self.first.values():
-            link.write(message)
-        self.first.clear()
-        why = "a fault"
+        link = Connection(self.scheduler, sock, LINE + REPLY + 4096, len(asked.message))
         try:
-            why = link.serve(lambda buffer: self.take(link, buffer), IDLE, lambda: bool(self.calls))
+            if self.stands(asked):
+                self.read(asked, link)
         finally:
-            link.close(why)
-            self.link = None
-            if link.malformed:
-                self.counters.count("vault.malformed")
-            self.end_all(Outcome.SEVERED, why)
-
-    def end_all(self, outcome: Outcome, why: str) -> None:
-        """All calls that were on a connection now gone; those asked for since then wait for the next one."""
-        gone = [name for name in self.calls if name not in self.first]
-        if gone:
-            self.counters.count("vault.lost", outcome is Outcome.SEVERED)
-            self.log.fault("no connection to the vault", why=why, calls=len(gone))
-        for name in gone:
-            self.ended(self.calls.pop(name), outcome, b"")
-
-    def take(self, link: Connection, buffer: Buffer) -> None:
-        while link.open and self.one(buffer):
-            pass
-
-    def one(self, buffer: Buffer) -> bool:
-        """The next reply, if it is whole."""
-        if self.reply is None:
-            line = buffer.line(LINE)
-            if line is None:
-                return False
-            name, word, length = reply_line(line)
-            if OUTCOMES[word] is not Outcome.HONOURED:
-                self.over(name, OUTCOMES[word], b"")
-                return True
-            self.reply = name, length
-        name, length = self.reply
-        if len(buffer) < length + 2:
-            return False
-        body = buffer.take(length)
-        if buffer.take(2) != b"\r\n":
-            raise Unreadable("a reply longer than it said")
-        self.reply = None
-        self.over(name, Outcome.HONOURED, body)
-        return True
-
-    def over(self, name: str, outcome: Outcome, body: bytes) -> None:
-        passage = self.calls.pop(name, None)
-        if passage is None:
-            self.counters.count("vault.late")
+            link.close("the call is over")
+
+    def read(self, asked: Asked, link: Connection) -> None:
+        self.counters.count("vault.links")
+        asked.link = link
+        link.write(asked.message)
+        while link.open and asked.outcome is None:
+            begun = asked.head is not None or len(link.buffer) > 0
+            events = link.step(asked.take, self.scheduler.now + STALL if begun else None)
+            if begun and link.open and not events:
+                link.malformed = True
+                link.close("a reply that does not go on")
+        if asked.strays:
+            self.counters.count("vault.strays", asked.strays)
+        if link.malformed:
+            self.counters.count("vault.malformed")
+        if asked.outcome is None:
+            self.lost(asked, Outcome.SEVERED, link.why)
         else:
-            self.ended(passage, outcome, body)
+            self.over(asked, asked.outcome)
+
+    def stands(self, asked: Asked) -> bool:
+        return self.calls.get(asked.passage.name) is asked
+
+    def lost(self, asked: Asked, outcome: Outcome, why: str) -> None:
+        if self.stands(asked):
+            self.counters.count("vault.lost", outcome is Outcome.SEVERED)
+            self.log.fault("a call to the vault was lost", why=why)
+        self.over(asked, outcome)
+
+    def over(self, asked: Asked, outcome: Outcome) -> None:
+        if self.stands(asked):
+            del self.calls[asked.passage.name]
+            self.ended(asked.passage, outcome, asked.body)
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -30,17 +30,20 @@
     """Listens, and serves each connection in a thread of its own. Port 0 takes any free one."""
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.links: list[socket.socket] = []
+        self.seen: queue.Queue[Any] = queue.Queue()
+        self.listen(host, port)
+
+    def listen(self, host: str, port: int) -> None:
         self.listener = socket.create_server((host, port))
         self.host, self.port = self.listener.getsockname()
         self.address = f"{self.host}:{self.port}"
-        self.links: list[socket.socket] = []
-        self.seen: queue.Queue[Any] = queue.Queue()
-        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
-    def accept(self) -> None:
+    def accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                link, _ = self.listener.accept()
+                link, _ = listener.accept()
             except OSError:
                 return
             self.links.append(link)
@@ -68,10 +71,18 @@
         """Raw bytes on the newest connection."""
         self.links[-1].sendall(raw)
 
-    def stop(self) -> None:
+    def move(self) -> None:
+        """The same peer at a new address; the old one takes nothing new, and its connections stay."""
+        self.deafen()
+        self.listen(self.host, 0)
+
+    def deafen(self) -> None:
         with suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)  # a thread that waits in accept would keep it open
         self.listener.close()
+
+    def stop(self) -> None:
+        self.deafen()
         self.drop()
 
 
@@ -181,9 +192,16 @@
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0, word: str = "yes") -> None:
         self.word = word
+        self.ends: queue.Queue[socket.socket] = queue.Queue()
         super().__init__(host, port)
 
     def serve(self, link: socket.socket) -> None:
+        try:
+            self.answer(link)
+        finally:
+            self.ends.put(link)
+
+    def answer(self, link: socket.socket) -> None:
         file = link.makefile("rb")
         for line in file:
             words = line.split()
