Check every field, conclude refused launches, and close or make room of silent connections

Bad ones vary level, timeout, ts, need, req, owner and profile, or copy an id or a label. At fault: read_told in clients.py checked no level and no upper bounds; admit.py shared a label's outcome with another body; send.py launched an id that was open; declined in servers.py only counted a refusal, so its client waited for ever and its place on the cores stayed taken; nothing ended a silent or cut-off connection. Ruled out: bad ones among the usual routers (32 open at most).

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import errno
+import re
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 from math import ceil
+from re import Pattern
 from typing import Any
 
-from ..deployment import Malformed, number, whole
+from ..deployment import Malformed
 from ..interface import MS
 from .buffer import Buffer, Unreadable
 from .connection import Connection, Pool
@@ -21,9 +23,11 @@
 from .scheduler import READ, Scheduler
 
 SHED, WRITTEN_OFF = "Overloaded", "Failed"  # the words of answers that are no result
-HEX = frozenset("0123456789abcdef")
+NAME, LABEL = re.compile("[0-9a-f]{16}"), re.compile("[0-9a-f]{32}")
+WHOLE, DECIMAL, MARK = re.compile("[0-9]{1,18}"), re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?"), re.compile("1")
 BODY = 2048  # the largest body
-NEED = 1 << 22  # KB: far past what any transaction books
+NEED = 2000  # KB: a transaction books less
+LONGEST_WAIT = 3_600_000  # ms: no client waits for an hour
 OPEN_MOST = 32  # open transactions on one connection
 BOUND_IN = 32_768  # bytes of a connection's messages not yet taken
 BOUND_OUT = OPEN_MOST * 5_120  # as many answers of the largest size
@@ -32,6 +36,9 @@
 PEERS_KEEP = 16  # descriptors kept for the agent, the catalog, the log and the signals
 NO_ROOM_WAIT = 1_000  # accepting rests 100 ms when the system has no descriptor left
 IDLE_EVERY = 2_500  # while idle ones are to close, they are looked for four times a second
+WORD = 20_000  # a whole message is here within two seconds of its connection, or of its own first byte
+WORD_EVERY = 2_000
+FRESH = 2_000  # for 200 ms a new connection is not asked to make room while another can
 SPARE = 20_000  # a connection told that it closes is closed here after two seconds, if nothing is open on it
 
 
@@ -59,6 +66,21 @@
     return read, trouble
 
 
+def matched(fields: dict[str, str], name: str, form: Pattern[str]) -> str:
+    value = fields.get(name, "")
+    if not form.fullmatch(value):
+        raise Malformed(f"{name} is absent or of a wrong form: {value[:40]!r}")
+    return value
+
+
+def ranged(fields: dict[str, str], name: str, form: Pattern[str], low: float, high: float) -> float:
+    """A figure from `low` to under `high`."""
+    value = float(matched(fields, name, form))
+    if not low <= value < high:
+        raise Malformed(f"{name} is out of range: {value:.15g}")
+    return value
+
+
 def read_told(profile: str, params: list[Any]) -> Told:
     """A call's profile, fields and body; Malformed names what is wrong."""
     match params:
@@ -69,26 +91,24 @@
     for field, value in fields.items():
         if not isinstance(field, str) or not isinstance(value, str) or len(value) > 64:
             raise Malformed("a field that is not text of at most 64 characters")
-    name = fields.get("req", "")
-    if len(name) != 16 or not HEX.issuperset(name):
-        raise Malformed("req is not 16 hexadecimal digits")
-    timeout = int(number(fields.get("timeout", "0"), "timeout") * MS)
-    if timeout < 0:
-        raise Malformed("timeout is below 0")
-    need = number(fields.get("need", "0"), "need")
-    if not 0 <= need < NEED:
-        raise Malformed("need is out of range")
+    ranged(fields, "level", DECIMAL, 0, 1)
+    need = ranged(fields, "need", DECIMAL, 0, NEED)
+    if not need:
+        raise Malformed("need is 0")
+    if "subject" in fields:
+        matched(fields, "subject", NAME)
     return Told(
-        name=name,
+        name=matched(fields, "req", NAME),
         profile=profile,
         body=body,
-        stamp=int(number(fields.get("ts", ""), "ts") * MS),
-        wait=timeout,
-        caller=whole(fields.get("via", "0"), "via"),
+        stamp=int(ranged(fields, "ts", WHOLE, 0, 1 << 50)) * MS,
+        wait=int(ranged(fields, "timeout", WHOLE, 1, LONGEST_WAIT)) * MS,
+        caller=int(matched(fields, "via", WHOLE)),
         tenant=fields.get("owner", ""),
         size=ceil(need * 1024),
-        again=fields.get("resent", "0") == "1",
-        label=fields.get("opkey", ""),
+        again="resent" in fields and bool(matched(fields, "resent", MARK)),
+        label=matched(fields, "opkey", LABEL) if "opkey" in fields else "",
+        about="subject" in fields,
     )
 
 
@@ -102,12 +122,12 @@
         self.closing = False
 
     def take(self, buffer: Buffer) -> None:
-        self.clients.moved(self)
         read, trouble = messages(buffer)
         for message in read:
             self.message(message)
         if trouble:
             raise Unreadable(trouble)
+        self.clients.heard(self, whole=bool(read), begun=len(buffer) > 0)
 
     def message(self, message: Any) -> None:
         match message:
@@ -149,7 +169,7 @@
 
     def send(self, message: bytes) -> None:
         self.connection.write(message)
-        self.clients.moved(self)
+        self.clients.rest(self)
 
     def say_closing(self) -> None:
         """The router sends nothing new then, and closes it once everything has been answered."""
@@ -161,6 +181,7 @@
             self.clients.scheduler.at(now + SPARE, self.close_spare)
 
     def close_spare(self) -> None:
+        """Told to close: it is closed here if the router does not."""
         if not self.connection.open:
             return
         if not self.open:
@@ -170,12 +191,20 @@
 
 
 class Clients:
-    """The listening socket and all connections on it, the one that moved last at the end."""
+    """The listening socket and all connections on it.
+
+    `owing` holds those from whom a whole message is due, and since when; `spare` those without an open
+    transaction, the one that moved last at the end. Both guard against peers that take room and say nothing.
+    """
 
     def __init__(self, scheduler: Scheduler, counters: Counters, log: Log, descriptors: int) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
         self.most = max(1, descriptors - PEERS_KEEP)
-        self.all: OrderedDict[Client, None] = OrderedDict()
+        self.all: dict[Client, None] = {}
+        self.spare: OrderedDict[Client, None] = OrderedDict()
+        self.owing: OrderedDict[Client, int] = OrderedDict()
+        self.fresh: OrderedDict[Client, None] = OrderedDict()  # those that have not said anything whole yet
+        self.judging = False
         self.good = True
         self.idle = 0
         self.looking = False
@@ -194,7 +223,7 @@
 
     def accept(self) -> None:
         while self.listener is not None:
-            if len(self.all) >= self.most:
+            if not self.has_room():
                 # Left unaccepted, they wait in the system's queue until a connection ends.
                 self.scheduler.forget(self.listener.fileno())
                 self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
@@ -204,7 +233,7 @@
                 self.accept_ready(self.listener)
 
     def accept_ready(self, listener: socket.socket) -> None:
-        while len(self.all) < self.most:
+        while self.has_room():
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -221,8 +250,11 @@
             self.begin(sock)
 
     def begin(self, sock: socket.socket) -> None:
+        if len(self.all) >= self.most:
+            self.make_room()
         client = Client(self, Connection(self.scheduler, sock, BOUND_IN, BOUND_OUT, self.pool))
-        self.all[client] = None
+        self.all[client] = self.fresh[client] = None
+        self.owe(client)
         self.counters.count("clients.opened")
         self.counters.peak("clients.connections", len(self.all))
         self.scheduler.spawn("router", lambda: self.serve(client))
@@ -236,14 +268,65 @@
             if client.connection.malformed:
                 self.counters.count("clients.malformed")
                 self.log.fault("malformed input from a router, its connection is closed", why=why)
-            del self.all[client]
+            self.leave_out(client)
             self.counters.count("clients.closed")
             for passage in list(client.open.values()):
                 self.gone(passage)
 
-    def moved(self, client: Client) -> None:
-        if client in self.all:
-            self.all.move_to_end(client)
+    # ---- who may stay --------------------------------------------------------------------------------------
+
+    def leave_out(self, client: Client) -> None:
+        self.all.pop(client, None)
+        for some in (self.spare, self.owing, self.fresh):
+            some.pop(client, None)
+
+    def heard(self, client: Client, whole: bool, begun: bool) -> None:
+        """Something has been read: whole messages, and perhaps the beginning of another."""
+        if whole:
+            self.fresh.pop(client, None)
+            self.owing.pop(client, None)
+            self.rest(client)
+        if begun and client not in self.owing:
+            self.owe(client)
+
+    def rest(self, client: Client) -> None:
+        """It has moved; without an open transaction it is one that may be closed to make room."""
+        self.spare.pop(client, None)
+        if not client.open and client in self.all:
+            self.spare[client] = None
+
+    def owe(self, client: Client) -> None:
+        self.owing[client] = self.scheduler.now
+        if not self.judging:
+            self.judging = True
+            self.scheduler.at(self.scheduler.now + WORD_EVERY, self.judge)
+
+    def judge(self) -> None:
+        """Who has owed a message for too long is closed; what lies ready is read before: we may be late."""
+        self.judging = False
+        for client, since in list(self.owing.items()):
+            if since > self.scheduler.now - WORD:
+                break
+            client.connection.read(client.take)
+            if self.owing.get(client) == since:
+                self.counters.count("clients.silent")
+                client.connection.close("no whole message in time")
+                self.leave_out(client)
+        if self.owing and not self.judging:
+            self.judging = True
+            self.scheduler.at(self.scheduler.now + WORD_EVERY, self.judge)
+
+    def has_room(self) -> bool:
+        return len(self.all) < self.most or bool(self.fresh or self.spare)
+
+    def make_room(self) -> None:
+        """At the bound, one that has said nothing since a while goes, then the one that moved longest ago."""
+        client = next(iter(self.fresh or self.spare))
+        if self.spare and client in self.fresh and self.owing[client] > self.scheduler.now - FRESH:
+            client = next(iter(self.spare))
+        client.connection.close("room for another")
+        self.leave_out(client)
+        self.counters.count("clients.made_room")
 
     # ---- closing -------------------------------------------------------------------------------------------
 
@@ -260,13 +343,10 @@
             self.looking = False
             return
         self.scheduler.at(self.scheduler.now + IDLE_EVERY, self.close_idle)
-        for client in list(self.all):
+        for client in list(self.spare):
             if client.connection.last > self.scheduler.now - self.idle:
                 return
-            if client.open or client.closing:
-                self.all.move_to_end(client)
-            else:
-                client.say_closing()
+            client.say_closing()
 
     def leave(self) -> None:
         """Nobody new, and those who are here hear it; what lies in the system's queue is still taken."""
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -7,9 +7,10 @@
 # Shown even while they are nought, so that a report always tells the same story.
 STORY = (
     "clients.opened clients.closed clients.turned_away clients.pings clients.malformed clients.too_many "
-    "take_in.taken take_in.malformed admit.repeats "
+    "clients.silent clients.made_room "
+    "take_in.taken take_in.malformed admit.repeats admit.mislabelled "
     "book.honoured book.erred book.shed book.written_off book.gone book.faults "
-    "send.launched send.stopped send.honoured send.erred send.recalled send.moot "
+    "send.launched send.stopped send.honoured send.erred send.recalled send.moot send.refused "
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.declined agent.asides agent.malformed agent.samples "
--- a/birchslip/net/labels.py
+++ b/birchslip/net/labels.py
@@ -53,10 +53,11 @@
         self.serial += 1
         heapq.heappush(self.ends, (entry.until + self.longest_wait, self.serial, entry))
 
-    def forget(self, passage: Passage) -> list[Passage]:
-        """Drop the entry of one that never ran; those that waited for it are returned."""
+    def forget(self, passage: Passage, claimed: bool = False) -> list[Passage]:
+        """Drop the entry of one that never ran, even if it was `claimed`; those that waited are returned."""
         entry = passage.label
-        if entry is None or entry.ran is not None or entry.holder is not passage:
+        owner = passage if claimed else None
+        if entry is None or entry.ran is not owner or (not claimed and entry.holder is not passage):
             return []
         if self.table.get(entry.name) is entry:
             del self.table[entry.name]
--- a/birchslip/net/passage.py
+++ b/birchslip/net/passage.py
@@ -21,12 +21,13 @@
     profile: str
     body: bytes
     stamp: int  # when it came to the machine
-    wait: int  # how long its caller waits from then on, 0 if it does not say
+    wait: int  # how long its caller waits from then on
     caller: int
     tenant: str
     size: int
     again: bool
     label: str
+    about: bool = False  # whether it names what it reads
 
 
 @dataclass(eq=False, slots=True)
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -89,12 +89,15 @@
         self.route = Route(scheduler, self.labels, self.send, self.relay, self.book)
         # who hears whom
         self.clients.take_in, self.clients.gone = self.take_in, self.gone
-        self.take_in.admit = self.admit.arrive
+        self.take_in.admit, self.take_in.open = self.admit.arrive, self.book.open
+        self.take_in.in_use = self.in_use
         self.admit.carry, self.admit.tell = self.route.carry, self.tell
         self.admit.unready, self.admit.fault = self.book.shed, self.book.fault
+        self.admit.mislabelled = self.book.write_off
         guarded = self.book.guarded
         self.agent.greeted, self.agent.wanted = self.greeted, guarded(self.relay.wanted)
         self.agent.ended, self.agent.doubt = guarded(self.send.ended), guarded(self.send.doubt)
+        self.agent.refused = guarded(self.send.refused)
         self.vault.ended = guarded(self.relay.ended)
         self.relay.guarded_overdue = guarded(self.relay.overdue)
         self.signals, self.wakeup = socket.socketpair()
@@ -273,6 +276,9 @@
     def passing(self) -> bool:
         return self.clients.good and self.phase in (Phase.STARTING, Phase.SERVING)
 
+    def in_use(self, name: str) -> bool:
+        return name in self.book.open_names or name in self.agent.runs
+
     def gone(self, passage: Passage) -> None:
         self.relay.drop(passage)
         self.book.gone(passage)
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -55,7 +55,8 @@
 
 
 class Agent:
-    """`greeted` hears of its start, `wanted` of calls, `ended` of outcomes, `doubt` of what is unknown."""
+    """`greeted` hears of its start, `wanted` of calls, `ended` of outcomes, `refused` of runs that it would
+    not begin, `doubt` of those whose end can't be known."""
 
     def __init__(
         self, scheduler: Scheduler, counters: Counters, log: Log, address: tuple[str, int], gauges: list[str]
@@ -74,6 +75,7 @@
         self.greeted: Callable[[bool, int], None]
         self.wanted: Callable[[Passage, int, bytes], None]
         self.ended: Callable[[Passage, Outcome, bytes, int], None]
+        self.refused: Callable[[Passage], None]
         self.doubt: Callable[[Passage], None]
 
     # ---- orders --------------------------------------------------------------------------------------------
@@ -187,8 +189,14 @@
                 raise ValueError(f"op {str(unknown)[:40]!r}")
 
     def declined(self, order: str, name: str) -> None:
+        """A launch that is refused never runs; a run that the agent does not know any more has gone."""
         self.counters.count("agent.declined")
         self.log.fault("the agent did not carry out an order", order=order, id=name)
+        passage = self.runs.get(name)
+        if passage is not None and order in ("launch", "deliver", "forgo"):
+            del self.runs[name]
+            passage.order = b""
+            (self.refused if order == "launch" else self.doubt)(passage)
 
     def greeting(self, cold: bool, age: int) -> None:
         began = self.scheduler.now - max(0, age)
--- a/birchslip/net/stages/admit.py
+++ b/birchslip/net/stages/admit.py
@@ -24,6 +24,7 @@
         self.carry: Callable[[Transaction, Wish], None]
         self.tell: Callable[[Notice], None]
         self.unready: Callable[[Passage], None]
+        self.mislabelled: Callable[[Passage], None]
         self.fault: Callable[[Passage, Exception], None]
 
     def begin(self, deployment: Deployment, began: int) -> None:
@@ -72,6 +73,11 @@
             return
         if passage.label_name:
             original = self.labels.find(passage.label_name, passage.stamp)
+            if original is not None and (original.body, original.profile) != (passage.body, passage.profile):
+                # All tries of one label are the same: what is not, shares neither its run nor its outcome.
+                self.counters.count("admit.mislabelled")
+                self.mislabelled(passage)
+                return
             if original is not None:
                 self.counters.count("admit.repeats")
                 transaction.original = original.transaction
--- a/birchslip/net/stages/book.py
+++ b/birchslip/net/stages/book.py
@@ -16,6 +16,12 @@
 class Book:
     def __init__(self, counters: Counters, log: Log, labels: Labels, admit: Admit) -> None:
         self.counters, self.log, self.labels, self.admit = counters, log, labels, admit
+        self.open_names: set[str] = set()
+
+    def open(self, passage: Passage) -> None:
+        """From now on it is owed its answer."""
+        passage.client.open[passage.number] = passage
+        self.open_names.add(passage.name)
 
     def close(self, passage: Passage, what: str) -> bool:
         """Whether this is the final answer: there is one, and none once the caller has gone."""
@@ -23,6 +29,7 @@
             return False
         passage.answered = True
         passage.client.open.pop(passage.number, None)
+        self.open_names.discard(passage.name)
         self.counters.count(f"book.{what}")
         return True
 
@@ -67,8 +74,8 @@
         self.conclude(passage, conclusion)
         self.admit.hear(passage, Ended(outcome))
 
-    def forget(self, passage: Passage) -> None:
-        for repeat in self.labels.forget(passage):
+    def forget(self, passage: Passage, claimed: bool = False) -> None:
+        for repeat in self.labels.forget(passage, claimed):
             self.share(repeat, Conclusion(Outcome.ERRED))
 
     # ---- trouble -------------------------------------------------------------------------------------------
--- a/birchslip/net/stages/send.py
+++ b/birchslip/net/stages/send.py
@@ -34,10 +34,6 @@
             self.log.fault("a second run of a label was asked for and not made", id=passage.name)
             self.book.attach(passage, passage.label.ran if passage.label is not None else None)
             return
-        if passage.name in self.agent.runs:
-            self.log.fault("an id that runs already", id=passage.name)
-            self.ended(passage, Outcome.ERRED, b"", 0)
-            return
         passage.launched = True
         self.counters.count("send.launched")
         self.counters.peak("send.running", len(self.agent.runs) + 1)
@@ -53,6 +49,12 @@
         self.log.fault("how a run ended can't be known", id=passage.name)
         self.ended(passage, Outcome.RECALLED, b"", 0)
 
+    def refused(self, passage: Passage) -> None:
+        """The agent does not know it: it has never run, and a further try of its label finds nothing."""
+        self.counters.count("send.refused")
+        self.book.forget(passage, claimed=True)
+        self.ended(passage, Outcome.MOOT, b"", 0)
+
     def ended(self, passage: Passage, outcome: Outcome, result: bytes, elapsed: int) -> None:
         self.counters.count(f"send.{outcome.value}")
         self.relay.drop(passage)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable
 
 from ...deployment import Malformed
-from ...interface import Deployment, Kind, Tenant, Transaction
+from ...interface import SECOND, Deployment, Kind, Tenant, Transaction
 from ..clients import Client
 from ..counters import Counters
 from ..log import Log
 from ..passage import Passage, Told
 from ..scheduler import Scheduler
 
+STRAY = 60 * SECOND  # told times lie within a minute of ours: one machine has one clock
+
 
 class TakeIn:
     def __init__(
@@ -27,6 +29,8 @@
         self.profiles = dict(zip(profiles, deployment.profiles, strict=True))
         self.tenants = dict(zip(tenants, deployment.tenants, strict=True))
         self.admit: Callable[[Passage], None]
+        self.in_use: Callable[[str], bool]
+        self.open: Callable[[Passage], None]
 
     def __call__(self, client: Client, number: int, told: Callable[[], Told]) -> None:
         """`told` reads the message, and may find it malformed."""
@@ -43,21 +47,30 @@
             client.write_off(number)
             return
         self.counters.count("take_in.taken")
-        client.open[number] = passage
+        self.open(passage)
         self.admit(passage)
 
     def passage(self, client: Client, number: int, told: Told) -> Passage:
         if told.profile not in self.profiles:
             raise Malformed(f"no such profile: {told.profile[:40]!r}")
         profile = self.profiles[told.profile]
-        if profile.kind is Kind.LABELLED and not told.label:
-            raise Malformed("a labelled transaction without its label")
+        labelled = profile.kind is Kind.LABELLED
+        if labelled != bool(told.label):
+            raise Malformed(
+                "a labelled transaction without its label" if labelled else "a label where none is due"
+            )
+        if labelled and told.about:
+            raise Malformed("a labelled transaction that names what it reads")
+        if self.in_use(told.name):
+            raise Malformed("the id of one that is open")
         # Never in the future; and for the decisions never longer ago than a client waits, or one absurd time
         # would look like a backlog. What a label repeats is found by the time told, however late it is read.
         now = self.scheduler.now
+        if abs(told.stamp - now) > STRAY:
+            raise Malformed("it came at a time that can't be")
         stamp = min(told.stamp, now)
         arrived = max(now - profile.outer, stamp)
-        due = max(now, arrived + (min(told.wait, profile.outer) or profile.outer))
+        due = max(now, arrived + min(told.wait, profile.outer))
         transaction = Transaction(
             profile,
             caller=told.caller,
@@ -67,8 +80,7 @@
             tenant=self.tenant(told.tenant),
             again=told.again,
         )
-        label = told.label if profile.kind is Kind.LABELLED else ""
-        return Passage(client, number, told.name, told.profile, told.body, transaction, stamp, label)
+        return Passage(client, number, told.name, told.profile, told.body, transaction, stamp, told.label)
 
     def tenant(self, name: str) -> Tenant | None:
         if not self.tenants:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -95,6 +95,7 @@
     def __init__(self, host: str = "127.0.0.1", port: int = 0, greets: bool = True) -> None:
         self.began = time.time()
         self.greets = greets
+        self.unknown = False  # whether what is launched is none that it knows
         self.lock = threading.RLock()
         self.notices: list[dict[str, Any]] = []
         self.runs: dict[str, list[str]] = {}
@@ -120,6 +121,8 @@
                 self.subscribed = order["seq"]
                 if self.greets:
                     self.greet()
+            case "launch" if self.unknown:
+                self.tell(op="refusal", end="launch", id=name)
             case "launch" if name not in self.runs and name not in self.over:
                 body = b64decode(order["body"])
                 self.launched.append(name)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from birchslip.net.clients import Clients
+from birchslip.net.clients import FRESH, PEERS_KEEP, WORD, WORD_EVERY, Clients
 from birchslip.net.connection import Connection, Pool, connect
 from birchslip.net.counters import Counters
 from birchslip.net.log import Log
+from birchslip.net.messagepack import pack
 from birchslip.net.scheduler import READ, SLICE, SWEEP, Scheduler
 
 
@@ -179,6 +180,83 @@
     assert clients.counters.counts["clients.turned_away"] == 1
 
 
+def clients(world, most):
+    """The connections of routers, as many as that, on socket pairs in place of a listener."""
+    some = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), most + PEERS_KEEP)
+    theirs = []
+
+    def join():
+        here, there = socket.socketpair()
+        here.setblocking(False)
+        there.settimeout(1)
+        some.begin(here)
+        theirs.append(there)
+        return there
+
+    return some, join
+
+
+def closed(peer):
+    try:
+        while peer.recv(100):
+            pass
+        return True
+    except BlockingIOError:
+        return False
+
+
+PING = pack([0, 1, "ping", [{}]])
+
+
+@pytest.mark.parametrize(
+    ("first", "later", "ended"),
+    [
+        (b"", b"", True),
+        (PING[:4], b"", True),
+        (PING, b"", False),  # one that has spoken may be silent
+        (PING + PING[:4], b"", True),
+        (PING[:4], PING[4:], False),  # it lay ready while this program paused: not taken for silence
+        (b"", PING, False),
+    ],
+)
+def test_a_whole_message_is_due_within_two_seconds(world, first, later, ended):
+    some, join = clients(world, 4)
+    router = join()
+    router.send(first)
+    for time in range(1000, 1004):
+        world.pass_at(time)
+    router.send(later)
+    world.scheduler.poll = type("Deaf", (), {"poll": lambda *_: [], "register": print, "unregister": print})()
+    world.pass_at(1000 + WORD + WORD_EVERY)
+    world.pass_at(1001 + WORD + WORD_EVERY)
+    assert (len(some.all) == 0) is ended and some.counters.counts["clients.silent"] == ended
+
+
+@pytest.mark.parametrize(
+    ("mute_since", "gone"),
+    [(1000, ["mute"]), (1000 + FRESH, ["old"])],  # a new connection has a moment to say something
+)
+def test_who_makes_room_at_the_bound(world, mute_since, gone):
+    some, join = clients(world, 3)
+    peers = {}
+    for name, time in sorted(
+        {"old": 1000, "young": 1001, "mute": mute_since}.items(), key=lambda one: one[1]
+    ):
+        world.time = time
+        world.pass_at(time)
+        peers[name] = join()
+        if name != "mute":
+            peers[name].send(PING)
+            world.pass_at(time)
+    world.pass_at(1001 + FRESH)
+    join()
+    world.pass_at(1002 + FRESH)
+    assert len(some.all) == 3
+    for peer in peers.values():
+        peer.setblocking(False)
+    assert [name for name, peer in peers.items() if closed(peer)] == gone
+
+
 def test_a_refused_connection_is_an_error_of_its_task_alone(world):
     free = socket.create_server(("127.0.0.1", 0))
     address = free.getsockname()
