Let a vault connection that has just brought its reply take the next call

Ruled out: the decisions (10 %), parsing (4 %), the log.

A connection is kept only after a whole reply with nothing behind it, for 50 ms, looked at before it is used. Stand-in peers.

--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -1,12 +1,15 @@
-"""The vault: calls on behalf of runs, each on a connection of its own that is closed with its reply.
+"""The vault: calls on behalf of runs, each alone on a connection for as long as it lasts.
 
 A connection that was kept open may have been forgotten by the vault, which shows only at the next call, and
 what spoils one reply spoils all that share its connection. One of its own meets both kinds of trouble: what
-goes wrong on it concerns this call alone, and one that was refused proves that the call never ran.
+goes wrong on it concerns this call alone, and one that was refused proves that the call never ran. Only one
+that has just brought its reply, whole and with nothing behind it, takes another call: that spares the fast
+traffic an opening for each, and it has had no time to be forgotten.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -19,9 +22,11 @@
 from .scheduler import Scheduler
 
 LINE = 256
+BOUND_OUT = 16_384
 REPLY = 65_536  # the largest reply read
 STRAYS = 8  # replies to other calls that are passed over before this one's
 STALL = 2_500  # a reply that has begun goes on within 250 ms, or what has come of it can't be right
+KEPT = 500  # a connection takes another call within 50 ms of a reply, later none
 WAIT_FIRST, WAIT_MOST = 100, 2_000  # between tries at a vault that is down: 10 ms at first, 200 ms at most
 OUTCOMES = {
     b"yes": Outcome.HONOURED,
@@ -99,6 +104,10 @@
         self.wait = WAIT_FIRST
         self.not_before = 0
         self.calls: dict[str, Asked] = {}
+        self.spare: deque[tuple[int, Connection]] = (
+            deque()
+        )  # when each has brought a reply, the last at the end
+        self.looking = False
         self.ended: Callable[[Passage, Outcome, bytes], None]
 
     def ask(self, passage: Passage, milliseconds: int, body: bytes) -> None:
@@ -114,19 +123,64 @@
 
     def move(self, address: tuple[str, int] | None) -> None:
         """New calls go there; those that are out may still end on the connections they have."""
-        self.address, self.wait, self.not_before = address, WAIT_FIRST, 0
+        if address != self.address:
+            self.address, self.wait, self.not_before = address, WAIT_FIRST, 0
+            while self.spare:
+                self.spare.pop()[1].close("moved")
 
     def make(self, asked: Asked) -> None:
         """The task of one call."""
         if len(self.calls) > self.most:
             self.over(asked, Outcome.SATURATED)  # here, not there: it has not been sent
             return
+        address = self.address
+        link = self.kept() or self.opened(asked)
+        if link is None:
+            return
+        try:
+            if self.stands(asked):
+                self.read(asked, link)
+        finally:
+            # One that did not bring this call's reply, or brought more, takes no other.
+            full = len(self.calls) + len(self.spare) >= self.most
+            if asked.outcome is None or not link.open or len(link.buffer) or full or address != self.address:
+                link.close("the call is over")
+            else:
+                self.keep(link)
+
+    # ---- connections ---------------------------------------------------------------------------------------
+
+    def keep(self, link: Connection) -> None:
+        self.spare.append((self.scheduler.now, link))
+        if not self.looking:
+            self.looking = True
+            self.scheduler.at(self.scheduler.now + KEPT, self.let_go)
+
+    def let_go(self) -> None:
+        while self.spare and self.spare[0][0] <= self.scheduler.now - KEPT:
+            self.spare.popleft()[1].close("not used again")
+        self.looking = bool(self.spare)
+        if self.looking:
+            self.scheduler.at(self.spare[0][0] + KEPT, self.let_go)
+
+    def kept(self) -> Connection | None:
+        """The one that was used last, if nothing has come on it since."""
+        while self.spare:
+            since, link = self.spare.pop()
+            if since > self.scheduler.now - KEPT:
+                link.read(lambda _: None)
+            if link.open and since > self.scheduler.now - KEPT and not len(link.buffer):
+                return link
+            link.close("not used again")
+        return None
+
+    def opened(self, asked: Asked) -> Connection | None:
         # A refusal comes at once on this machine, and the decisions may ask again at once: without a wait
         # between the tries, a vault that is down would take all of the processor.
         if self.not_before > self.scheduler.now:
             self.scheduler.sleep(self.not_before)
         if not self.stands(asked):
-            return
+            return None
         address = self.address
         try:
             if address is None:
@@ -138,17 +192,14 @@
                 self.not_before = self.scheduler.now + self.wait
                 self.wait = min(2 * self.wait, WAIT_MOST)
             self.lost(asked, Outcome.UNREACHED, str(trouble))
-            return
+            return None
         self.wait = WAIT_FIRST
-        link = Connection(self.scheduler, sock, LINE + REPLY + 4096, len(asked.message))
-        try:
-            if self.stands(asked):
-                self.read(asked, link)
-        finally:
-            link.close("the call is over")
+        self.counters.count("vault.links")
+        return Connection(self.scheduler, sock, LINE + REPLY + 4096, BOUND_OUT)
+
+    # ---- calls ---------------------------------------------------------------------------------------------
 
     def read(self, asked: Asked, link: Connection) -> None:
-        self.counters.count("vault.links")
         asked.link = link
         link.write(asked.message)
         while link.open and asked.outcome is None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,15 +3,18 @@
 import errno
 import os
 import socket
+from types import SimpleNamespace
 
 import pytest
 
+from birchslip.interface import Outcome
 from birchslip.net.clients import FRESH, PEERS_KEEP, WORD, WORD_EVERY, Clients
 from birchslip.net.connection import Connection, Pool, connect
 from birchslip.net.counters import Counters
 from birchslip.net.log import Log
 from birchslip.net.messagepack import pack
 from birchslip.net.scheduler import READ, SLICE, SWEEP, Scheduler
+from birchslip.net.vault import KEPT, STALL, Vault
 
 
 class World:
@@ -257,6 +260,104 @@
     assert [name for name, peer in peers.items() if closed(peer)] == gone
 
 
+A, B = "a" * 16, "b" * 16
+
+
+class Below:
+    """A vault that the test speaks for, and what came of the calls to it."""
+
+    def __init__(self, world):
+        self.world, self.ended = world, []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(5)
+        self.vault = Vault(
+            world.scheduler, Counters(), Log(world.scheduler, "t"), self.listener.getsockname(), 8
+        )
+        self.vault.ended = lambda passage, outcome, body: self.ended.append((passage.name, outcome, body))
+
+    def until(self, happened, time=None):
+        for _ in range(1000):
+            self.world.pass_at(time or self.world.time)
+            if happened():
+                return
+        raise AssertionError(f"only {self.ended}")
+
+    def ask(self, name, link=None):
+        """The call, read from its connection: a new one, or this."""
+        self.vault.ask(SimpleNamespace(name=name), 500, b"body")
+        counts, before = self.vault.counters.counts, self.vault.counters.counts["vault.links"]
+        if link is None:
+            self.until(lambda: counts["vault.links"] > before)
+            link, _ = self.listener.accept()
+            link.settimeout(5)
+        else:
+            self.until(lambda: self.vault.calls[name].link)
+        assert link.recv(100) == f"ask {name} 500 4\r\nbody\r\n".encode()
+        return link
+
+
+def yes(name, body):
+    return f"{name} yes {len(body)}\r\n".encode() + body + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome", "body"),
+    [
+        (yes(A, b"paid"), Outcome.HONOURED, b"paid"),
+        (yes(A, b""), Outcome.HONOURED, b""),
+        (yes(B, b"not yours") + yes(A, b"paid"), Outcome.HONOURED, b"paid"),
+        (f"{B} failed\r\n".encode() + yes(A, b"paid"), Outcome.HONOURED, b"paid"),
+        (f"{A} notnow\r\n".encode(), Outcome.SATURATED, b""),
+        (f"{A} pointless\r\n".encode(), Outcome.MOOT, b""),
+        (b"\xff\xfe\x00 noise\r\n", Outcome.SEVERED, b""),
+        (b"x" * 300, Outcome.SEVERED, b""),
+        (f"{A} yes -4\r\npaid\r\n".encode(), Outcome.SEVERED, b""),
+        (f"{A} yes 3000000000\r\npaid".encode(), Outcome.SEVERED, b""),
+        (f"{A} yes 2\r\npaid\r\n".encode(), Outcome.SEVERED, b""),
+        (f"{A} maybe\r\n".encode(), Outcome.SEVERED, b""),
+        (f"{B} failed\r\n".encode() * 9, Outcome.SEVERED, b""),
+        (None, Outcome.SEVERED, b""),  # closed in place of a reply
+    ],
+)
+def test_how_a_call_ends_by_what_comes_in_reply(world, reply, outcome, body):
+    below = Below(world)
+    link = below.ask(A)
+    link.sendall(reply) if reply is not None else link.close()
+    below.until(lambda: below.ended)
+    assert below.ended == [(A, outcome, body)] and not below.vault.calls
+
+
+@pytest.mark.parametrize("part", [A.encode(), f"{A} yes 9\r\n".encode(), f"{A} yes 9\r\npaid\r\n".encode()])
+def test_a_reply_that_does_not_go_on_ends_its_call_before_its_limit(world, part):
+    below = Below(world)
+    below.ask(A).sendall(part)
+    asked = below.vault.calls[A]
+    below.until(lambda: asked.head or len(asked.link.buffer))
+    below.until(lambda: below.ended, world.time + STALL)
+    assert below.ended == [(A, Outcome.SEVERED, b"")]
+
+
+@pytest.mark.parametrize(
+    ("reply", "wait", "again"),
+    [
+        (yes(A, b"paid"), KEPT - 1, True),
+        (yes(A, b"paid"), KEPT, False),  # it may have been forgotten there
+        (yes(A, b"paid") + yes(A, b"paid"), 0, False),  # it brought more than its reply
+        (yes(A, b"paid") + b"x", 0, False),
+    ],
+)
+def test_a_connection_takes_another_call_only_right_after_its_reply(world, reply, wait, again):
+    below = Below(world)
+    link = below.ask(A)
+    link.sendall(reply)
+    below.until(lambda: below.ended)
+    world.time += wait
+    below.ask(B, link if again else None).sendall(yes(B, b"too"))
+    below.until(lambda: len(below.ended) == 2)
+    assert below.ended[1] == (B, Outcome.HONOURED, b"too")
+    assert below.vault.counters.counts["vault.links"] == (1 if again else 2)
+
+
 def test_a_refused_connection_is_an_error_of_its_task_alone(world):
     free = socket.create_server(("127.0.0.1", 0))
     address = free.getsockname()
