Try what waits behind others at what four in five runs like it take, not at the mean

At fault: needs() in brain.py asked for the mean, and in due order all that is held begins shortly before its goal.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -32,7 +32,7 @@
 LIMIT_TICK = 3 * SECOND // 2  # the core gauge fades over half a second: thrice that shows what is new
 RISE, CUT = 0.25, 0.9  # the running limit's step and its cut
 SLOWED = 2.0  # how far past its base a median run, and past the usual the pace, may be
-LOW, MEMORY_SLICES = 0.25, 60  # the low percentile, over a minute, that is the base of a time
+LOW, HIGH, MEMORY_SLICES = 0.25, 0.8, 60  # shares, over a minute, below the base and the high value of a time
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms, on every core; the recent time of calls too
 FEW = 2  # usual runs that stand in for what has not been seen; thrice as many for the pace
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
@@ -76,13 +76,13 @@
 
 
 class Times:
-    """What runs or calls took, in one-second buckets used again in a ring; its mean and a low value."""
+    """What runs or calls took, in one-second buckets used again in a ring: mean, a low and a high value."""
 
     def __init__(self) -> None:
         self.cells: list[list[float]] = [[] for _ in range(MEMORY_SLICES)]
         self.slot = 0
         self.ordered: list[float] = []
-        self.sum = self.usual = self.base = 0.0
+        self.sum = self.usual = self.base = self.high = 0.0
         self.number = 0
 
     def add(self, now: int, value: float) -> None:
@@ -100,6 +100,7 @@
         self.number += 1
         self.usual = self.sum / len(self.ordered)
         self.base = self.ordered[int(len(self.ordered) * LOW)]
+        self.high = self.ordered[int(len(self.ordered) * HIGH)]
 
     def recent(self, now: int) -> list[float]:
         """The last window's values in order."""
@@ -130,13 +131,12 @@
         self.site = deployment
         self.now = self.started = now
         self.notices: list[Notice] = [Health(True), Tick(now + TICK)]
-        self.chance, self.serial = deployment.seed, 0
+        self.chance, self.serial, self.logged = deployment.seed, 0, 0
         # the source's windows
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         self.binding = self.crowded = self.busy = self.storm = self.look = False
-        self.logged = 0
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
         self.limit_moved = self.limit_cut = self.next_call = now
@@ -337,8 +337,10 @@
 
     def needs(self, tx: Transaction) -> float:
         """The time from its start to its answer, as things go now: cores, calls and the wait for a call."""
+        # A high run time: begun with the usual one left, run after run is stopped half-way, as times scatter.
         call = self.call_time * (1 + len(self.queue) / self.allowed)
-        return self.rest(tx) + self.calls_made[tx.profile].usual * call
+        run = self.runs[tx.profile].high * max(1, tx.work) * self.stretch
+        return run + self.calls_made[tx.profile].usual * call
 
     def wanted(self, tx: Transaction) -> int:
         return tx.by if self.end is None else min(tx.by, self.end - 2 * TICK)
@@ -505,8 +507,7 @@
         """
         while self.lingering and self.lingering[0] <= self.now:
             heapq.heappop(self.lingering)
-        allowed = self.allowed_calls()
-        space = self.call_time / allowed
+        space = self.call_time / (allowed := self.allowed_calls())
         for place, (*_, tx) in enumerate(list(self.queue)):
             answer_at = self.now + place * space + self.call_time + self.rest(tx)
             no_time = tx.profile.skip_payoff and self.call_time and answer_at >= self.wanted(tx)
@@ -555,8 +556,7 @@
         self.now = now
 
     def tick(self, gauges: Gauges) -> None:
-        now = self.now
-        self.look = True
+        now, self.look = self.now, True
         self.notices.append(Tick(now + TICK))
         while self.callers and next(iter(self.callers.values())).heard <= now - SPAN:
             del self.callers[next(iter(self.callers))]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -52,6 +52,27 @@
     assert shed and light not in shed
 
 
+@pytest.mark.parametrize(
+    ("busy", "left", "wishes"),
+    [
+        (True, 800, []),
+        (True, 600, ["Shed"]),  # room for two of the mean of 260 ms, not for one and a slow one
+        (False, 400, ["Start"]),  # on empty cores it is tried
+    ],
+)
+def test_behind_others_it_is_tried_at_what_slow_ones_like_it_take(busy, left, wishes):
+    desk = Desk(profile(goal=5000, outer=5000), cores=1)
+    for took in (100, 100, 100, 500, 500):
+        tx = desk.read(desk.now // MS)
+        desk.at(desk.now // MS, tx).at(desk.now // MS + took, (tx, HONOURED))
+    now = desk.now // MS
+    if busy:
+        desk.at(now, desk.read(now))
+    tx = desk.read(now, wait=left)
+    desk.at(now, tx)
+    assert desk.wishes(tx) == wishes
+
+
 @pytest.mark.parametrize(("held_for", "cpu", "limit"), [(1400, 0.5, 2), (1600, 0.5, 3), (1600, 0.95, 2)])
 def test_the_limit_rises_only_when_full_for_the_whole_look_back(held_for, cpu, limit):
     desk = Desk(profile(goal=30_000, outer=60_000))
