--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -24,6 +24,7 @@
 # fmt: on
 
 TICK = 500  # one coarse timer: 50 ms
+LOOK = 40  # the hold is looked through at most once in 4 ms: under pressure that costs as much as the rest
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
 SPAN = WINDOWS * WINDOW
 QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
@@ -33,6 +34,7 @@
 RISE, CUT = 0.25, 0.9  # the running limit's step and its cut
 SLOWED = 2.0  # how far past its base a median run, and past the usual the pace, may be
 LOW, HIGH, MEMORY_SLICES = 0.25, 0.8, 60  # shares, over a minute, below the base and the high value of a time
+CELL = 100  # times kept of one second: more say no more, and a fast server would keep and sort them all
 PACE_SLICE = 2000  # recent pace: ten slices of 200 ms, on every core; the recent time of calls too
 FEW = 2  # usual runs that stand in for what has not been seen; thrice as many for the pace
 STUCK, MENDED = 4.0, 2.0  # pace, against the usual, at which health turns bad and good again
@@ -80,10 +82,9 @@
 
     def __init__(self) -> None:
         self.cells: list[list[float]] = [[] for _ in range(MEMORY_SLICES)]
-        self.slot = 0
+        self.slot = self.number = 0
         self.ordered: list[float] = []
         self.sum = self.usual = self.base = self.high = 0.0
-        self.number = 0
 
     def add(self, now: int, value: float) -> None:
         slot = now // SECOND
@@ -93,14 +94,14 @@
                 del self.ordered[bisect_left(self.ordered, old)]
                 self.sum -= old
             cell.clear()
-        self.slot = slot
-        self.cells[slot % MEMORY_SLICES].append(value)
+        self.slot, self.number, cell = slot, self.number + 1, self.cells[slot % MEMORY_SLICES]
+        if len(cell) >= CELL:
+            return
+        cell.append(value)
         insort(self.ordered, value)
         self.sum += value
-        self.number += 1
         self.usual = self.sum / len(self.ordered)
-        self.base = self.ordered[int(len(self.ordered) * LOW)]
-        self.high = self.ordered[int(len(self.ordered) * HIGH)]
+        self.base, self.high = (self.ordered[int(len(self.ordered) * share)] for share in (LOW, HIGH))
 
     def recent(self, now: int) -> list[float]:
         """The last window's values in order."""
@@ -151,7 +152,7 @@
         self.calls_took, self.calls_ended = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
-        self.core_clock = self.memory = 0
+        self.core_clock = self.memory = self.next_look = 0
         self.stretch = self.stuck = self.allowed = 1.0
         self.call_time = 0.0
         # memory, labels, health and drain
@@ -315,8 +316,7 @@
 
     def take_in(self, tx: Transaction) -> None:
         """By when it is wanted; a further try, whose age does not show, is as old as sheds here have been."""
-        self.serial += 1
-        tx.serial = self.serial
+        self.serial = tx.serial = self.serial + 1
         self.backlog = self.now - tx.arrived
         spent = tx.again and self.shed_ages.total(self.now) / max(1, self.turned.total(self.now))
         tx.by = min(tx.due, tx.arrived + tx.profile.goal - int(spent))
@@ -405,7 +405,7 @@
         Where the hold, run in due order, would leave one behind, the transaction that goes is one of the
         caller that has come furthest against its quota, of those up to the one left behind.
         """
-        self.look = False
+        self.look, self.next_look = False, self.now + LOOK
         ahead = self.wait_for_core()
         kept: list[Transaction] = []
         lost: list[Transaction] = []
@@ -477,7 +477,8 @@
 
     def overdue(self) -> Iterator[tuple[Transaction, Event]]:
         """No transaction is lost: what has no answer at its due time or the process's end gets one."""
-        while self.watch and (self.watch[0][0] <= self.now or self.ending()):
+        ending = self.end is not None and self.now >= self.end - 2 * TICK
+        while self.watch and (ending or self.watch[0][0] <= self.now):
             tx = heapq.heappop(self.watch)[2]
             if tx.place is not Place.ENDED and not tx.answered:
                 yield tx, GiveUp()
@@ -487,9 +488,6 @@
                 if not tx.answered and self.may_stop(tx):
                     yield tx, GiveUp()
 
-    def ending(self) -> bool:
-        return self.end is not None and self.now >= self.end - 2 * TICK
-
     # ---- calls below ---------------------------------------------------------------------------------------
 
     def allowed_calls(self) -> float:
@@ -632,9 +630,10 @@
     def settle(self) -> Iterator[tuple[Transaction, Event]]:
         """After each batch, who goes on: the final answers that are due, then calls, then starts."""
         yield from self.overdue()
-        if self.look:
+        look = self.look and self.next_look <= self.now
+        if look:
             yield from self.sweep()
-        if self.queue:
+        if self.queue and (look or self.next_call <= self.now):
             yield from self.next_calls()
         if self.hold:
             yield from self.starts()
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from itertools import islice
 
 from .buffer import Buffer, Unreadable
 from .scheduler import ENDED, READ, WRITE, Scheduler
@@ -105,9 +106,11 @@
     def flush(self) -> None:
         self.flushing = False
         while self.open and self.unsent:
-            pieces = [piece for piece, _ in zip(self.unsent, range(PIECES), strict=False)]
             try:
-                sent = self.sock.sendmsg(pieces)
+                if len(self.unsent) == 1:
+                    sent = self.sock.send(self.unsent[0])
+                else:
+                    sent = self.sock.sendmsg(list(islice(self.unsent, PIECES)))
             except (BlockingIOError, InterruptedError):
                 break
             except OSError as trouble:
--- a/birchslip/net/scheduler.py
+++ b/birchslip/net/scheduler.py
@@ -131,15 +131,15 @@
             self.one_pass()
 
     def one_pass(self) -> None:
-        if not self.ready:
-            for descriptor, events in self.poll.poll(self.patience()):
-                task = self.waiting.pop(descriptor, None)
-                if task is not None:
-                    self.ready.append((task, events))
-                else:
-                    # Nobody waits for it just now: left in, it would wake every pass.
-                    del self.masks[descriptor]
-                    self.poll.unregister(descriptor)
+        # Also while tasks are ready: each pass has its price, whether it takes one event or thirty.
+        for descriptor, events in self.poll.poll(0 if self.ready else self.patience()):
+            task = self.waiting.pop(descriptor, None)
+            if task is not None:
+                self.ready.append((task, events))
+            else:
+                # Nobody waits for it just now: left in, it would wake every pass.
+                del self.masks[descriptor]
+                self.poll.unregister(descriptor)
         self.again = False
         began = self.tell_time()
         self.run_due()
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import json
-from base64 import b64decode, b64encode
+from base64 import b64encode
+from binascii import a2b_base64
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -35,8 +36,11 @@
 }
 
 
+ENCODE = json.JSONEncoder(separators=(",", ":")).encode  # made once: `dumps` would make one for each order
+
+
 def line_of(**parts: object) -> bytes:
-    return json.dumps(parts, separators=(",", ":")).encode() + b"\n"
+    return ENCODE(parts).encode() + b"\n"
 
 
 def span(milliseconds: Any) -> int:
@@ -51,7 +55,7 @@
 
 
 def body(told: dict[str, Any]) -> bytes:
-    return b64decode(told.get("body") or "", validate=True)
+    return a2b_base64(told.get("body") or "", strict_mode=True)
 
 
 class Agent:
@@ -167,7 +171,7 @@
 
     def read(self, line: bytes) -> Callable[[], None]:
         """What a line asks for, its parts checked; nothing has been done when it turns out malformed."""
-        told = json.loads(line)
+        told = json.loads(str(line, "utf-8"))
         match told["op"]:
             case "greeting":
                 return partial(self.greeting, STARTS[told["end"]], span(told["ms"]))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -94,6 +94,14 @@
     assert world.pass_at(1070) == [] and pipe[0] not in world.scheduler.masks  # nobody waits: left out
 
 
+def test_a_pass_with_tasks_that_are_ready_takes_what_came_meanwhile_too(world, pipe):
+    world.scheduler.spawn("reader", lambda: world.said.append(world.scheduler.wait(pipe[0], READ)))
+    world.pass_at(1000)
+    os.write(pipe[1], b"x")
+    world.scheduler.spawn("call", lambda: world.said.append("call"))
+    assert world.pass_at(1001) == ["call", READ] and len(world.said) == 3  # one settling for both
+
+
 def test_a_fault_ends_its_task_alone(world):
     world.scheduler.spawn("bad", lambda: 1 // 0)
     world.scheduler.at(1000, lambda: [][1])
