Let a redoable transaction make a call again that was cut

One that erred there or ran out of time is still left out: the first comes from the vault itself, the second has no time.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -152,9 +152,8 @@
         self.calls_took, self.calls_ended = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
-        self.core_clock = self.memory = self.next_look = 0
+        self.call_time, self.core_clock, self.memory, self.next_look = 0.0, 0, 0, 0
         self.stretch = self.stuck = self.allowed = 1.0
-        self.call_time = 0.0
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
@@ -541,8 +540,9 @@
             self.next_call = max(self.next_call, tx.call_at + ceil(took / share))
 
     def may_call_again(self, tx: Transaction, outcome: Outcome) -> bool:
-        """Only where the earlier call is known not to have run."""
-        return outcome in NEVER_RAN and not tx.answered and self.now < tx.by
+        """Where the earlier call is known not to have run, or was cut and may be made twice."""
+        cut = outcome is Outcome.SEVERED and tx.profile.kind is Kind.REDOABLE
+        return (outcome in NEVER_RAN or cut) and not tx.answered and self.now < tx.by
 
     # ---- time, health and drain ----------------------------------------------------------------------------
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,19 @@
 import pytest
 
 from birchslip.brain import CALLS_KEPT
-from birchslip.interface import Below, CallEnded, Gone, Halt, Health, Idle, NeedsCall, Outcome, Shed, Tenant
+from birchslip.interface import (
+    Below,
+    CallEnded,
+    Gone,
+    Halt,
+    Health,
+    Idle,
+    Kind,
+    NeedsCall,
+    Outcome,
+    Shed,
+    Tenant,
+)
 
 from .desk import HONOURED, MS, Desk, profile
 
