--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,7 +10,6 @@
     Halt,
     Health,
     Idle,
-    Kind,
     NeedsCall,
     Outcome,
     Shed,
