Work out every bound on memory and connections from the configuration

The limits' memory was never read: 48 MB of answers, 16 MB of orders and 32 KB unread on each connection were fixed, more than an app server of 32 MB has in all. bounds.py now shares the room (the memory told less what the program takes at its start) among connections, calls, answers and orders; the log names what came of it.

The test fills all bounds at 32, 64 and 192 MB.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -14,6 +14,7 @@
 
 from ..deployment import Malformed
 from ..interface import MS
+from .bounds import Bounds
 from .buffer import Buffer, Unreadable
 from .connection import Connection, Pool
 from .counters import Counters
@@ -29,11 +30,8 @@
 NEED = 2000  # KB: a transaction books less
 LONGEST_WAIT = 3_600_000  # ms: no client waits for an hour
 OPEN_MOST = 32  # open transactions on one connection
-BOUND_IN = 32_768  # bytes of a connection's messages not yet taken
 BOUND_OUT = OPEN_MOST * 5_120  # as many answers of the largest size
-POOL = 48 << 20  # bytes of answers that wait on all connections together
 BACKLOG = 1024
-PEERS_KEEP = 16  # descriptors kept for the agent, the catalog, the log and the signals
 NO_ROOM_WAIT = 1_000  # accepting rests 100 ms when the system has no descriptor left
 IDLE_EVERY = 2_500  # while idle ones are to close, they are looked for four times a second
 WORD = 20_000  # a whole message is here within two seconds of its connection, or of its own first byte
@@ -197,9 +195,9 @@
     transaction, the one that moved last at the end. Both guard against peers that take room and say nothing.
     """
 
-    def __init__(self, scheduler: Scheduler, counters: Counters, log: Log, descriptors: int) -> None:
+    def __init__(self, scheduler: Scheduler, counters: Counters, log: Log, bounds: Bounds) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
-        self.most = max(1, descriptors - PEERS_KEEP)
+        self.most, self.unread = bounds.connections, bounds.unread
         self.all: dict[Client, None] = {}
         self.spare: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, int] = OrderedDict()
@@ -208,7 +206,7 @@
         self.good = True
         self.idle = 0
         self.looking = False
-        self.pool = Pool(POOL)
+        self.pool = Pool(bounds.unsent)
         self.listener: socket.socket | None = None
         self.take_in: Callable[[Client, int, Callable[[], Told]], None]
         self.gone: Callable[[Passage], None]
@@ -252,7 +250,7 @@
     def begin(self, sock: socket.socket) -> None:
         if len(self.all) >= self.most:
             self.make_room()
-        client = Client(self, Connection(self.scheduler, sock, BOUND_IN, BOUND_OUT, self.pool))
+        client = Client(self, Connection(self.scheduler, sock, self.unread, BOUND_OUT, self.pool))
         self.all[client] = self.fresh[client] = None
         self.owe(client)
         self.counters.count("clients.opened")
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -8,12 +8,13 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import asdict, replace
 from enum import Enum
 
 from ..deployment import Malformed
 from ..interface import Gauges, Health, Idle, Notice, Tick
 from ..interface import Log as Remark
+from .bounds import bounds
 from .catalog import Catalog
 from .clients import Clients
 from .counters import Counters
@@ -34,7 +35,6 @@
 SAMPLE_AHEAD = 50  # gauges are asked for 5 ms before the tick that reads them
 END_AHEAD = 500  # all is closed 50 ms before the process would be killed
 SHUT_AHEAD = 3_000  # and routers hear it 300 ms before, however long the grace
-CALLS_SHARE = 8  # of the descriptors, one in so many is for calls
 AGAIN = 1_000  # a task that had a fault begins again after 100 ms
 
 
@@ -57,10 +57,10 @@
 }
 
 
-def memory_most() -> int:
-    """The highest resident memory since the start, in KB; the usage record would count the parent too."""
+def memory(what: str = "VmRSS") -> int:
+    """Resident memory in KB, or its peak (`VmHWM`); the usage record would count the parent too."""
     with open("/proc/self/status", encoding="ascii") as status:
-        return next((int(line.split()[1]) for line in status if line.startswith("VmHWM:")), 0)
+        return next((int(line.split()[1]) for line in status if line.startswith(f"{what}:")), 0)
 
 
 class Program:
@@ -73,11 +73,11 @@
         self.counters = Counters()
         scheduler, counters, log = self.scheduler, self.counters, self.log
         descriptors = min(site.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        calls = max(4, descriptors // CALLS_SHARE)
+        self.bounds = bounds(site.memory, memory() << 10, descriptors)
         # peers
-        self.clients = Clients(scheduler, counters, log, descriptors - calls)
-        self.agent = Agent(scheduler, counters, log, site.agent, site.gauges)
-        self.vault = Vault(scheduler, counters, log, site.vault, calls)
+        self.clients = Clients(scheduler, counters, log, self.bounds)
+        self.agent = Agent(scheduler, counters, log, site.agent, site.gauges, self.bounds.orders)
+        self.vault = Vault(scheduler, counters, log, site.vault, self.bounds.calls)
         self.catalog = Catalog(scheduler, counters, log, site.catalog, site.name, self.passing)
         # stages
         self.labels = Labels(max(profile.outer for profile in site.deployment.profiles))
@@ -114,6 +114,7 @@
         self.hear_signals()
         host, port = self.clients.listen(self.site.listen)
         self.log.info("listening", address=f"{host}:{port}")
+        self.log.info("bounds", **asdict(self.bounds))
         self.keep("signals", self.take_signals)
         self.keep("agent", self.agent.keep_link)
         self.keep("catalog", self.catalog.keep_reporting)
@@ -251,7 +252,7 @@
         self.log.info(
             "counters",
             part="process",
-            memory_kb_most=memory_most(),
+            memory_kb_most=memory("VmHWM"),
             cpu_ms=cpu_ms,
             log_lines_dropped=dropped,
         )
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -23,7 +23,6 @@
 from .scheduler import Scheduler
 
 LINE = 65_536
-BOUND_OUT = 16 << 20
 WAIT_FIRST, WAIT_MOST = 200, 10_000  # before the next try at the link: 20 ms at first, a second at most
 STALE = 5_000  # gauges older than half a second say nothing
 RESTART = 20_000  # an agent that began two seconds later than it had said has been started anew
@@ -63,10 +62,16 @@
     not begin, `doubt` of those whose end can't be known."""
 
     def __init__(
-        self, scheduler: Scheduler, counters: Counters, log: Log, address: tuple[str, int], gauges: list[str]
+        self,
+        scheduler: Scheduler,
+        counters: Counters,
+        log: Log,
+        address: tuple[str, int],
+        gauges: list[str],
+        bound_out: int,
     ) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
-        self.address, self.gauges = address, gauges
+        self.address, self.gauges, self.bound_out = address, gauges, bound_out
         self.link: Connection | None = None
         self.last = 0  # the number of the last notice read
         self.fences = 0
@@ -122,7 +127,7 @@
         while True:
             address = self.address
             try:
-                link = Connection(self.scheduler, connect(self.scheduler, address), 2 * LINE, BOUND_OUT)
+                link = Connection(self.scheduler, connect(self.scheduler, address), 2 * LINE, self.bound_out)
             except OSError as trouble:
                 self.log.fault("the agent can't be reached", why=str(trouble))
                 if address == self.address:
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -25,6 +25,7 @@
     vault: Address | None
     stop: int
     sockets: int
+    memory: int  # bytes
     deployment: Deployment
     profiles: list[str]
     tenants: list[str]
@@ -53,9 +54,10 @@
     except RecursionError:
         raise Malformed("settings are nested too deeply") from None
     limits = told.get("limits", {})
-    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
+    limits = limits if isinstance(limits, dict) else {}
+    sockets, memory = limits.get("sockets", 1024), limits.get("memory_mb", 192)
     stop = told.get("stop_ms", 3000)
-    for what, value in (("limits.sockets", sockets), ("stop_ms", stop)):
+    for what, value in (("limits.sockets", sockets), ("limits.memory_mb", memory), ("stop_ms", stop)):
         if not isinstance(value, int | float) or not 1 <= value < 1e9:
             raise Malformed(f"{what} is not a number above 0: {value!r}")
     site = Site(
@@ -66,6 +68,7 @@
         vault=address(text(told, "vault"), "vault") if "vault" in told else None,
         stop=int(stop * MS),
         sockets=int(sockets),
+        memory=int(memory * (1 << 20)),
         deployment=deployment(seed(told), setup),
         profiles=setup.names("classes"),
         tenants=setup.names("tenants"),
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -97,7 +97,7 @@
         counters: Counters,
         log: Log,
         address: tuple[str, int] | None,
-        most: int = 32,
+        most: int,
     ) -> None:
         self.scheduler, self.counters, self.log, self.address = scheduler, counters, log, address
         self.most = most  # connections, and so calls, at a time
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,12 +3,14 @@
 import errno
 import os
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
 from birchslip.interface import Outcome
-from birchslip.net.clients import FRESH, PEERS_KEEP, WORD, WORD_EVERY, Clients
+from birchslip.net.bounds import CALL, CONNECTION, bounds
+from birchslip.net.clients import FRESH, WORD, WORD_EVERY, Clients
 from birchslip.net.connection import Connection, Pool, connect
 from birchslip.net.counters import Counters
 from birchslip.net.log import Log
@@ -16,6 +18,8 @@
 from birchslip.net.scheduler import READ, SLICE, SWEEP, Scheduler
 from birchslip.net.vault import KEPT, STALL, Vault
 
+BOUNDS = bounds(192 << 20, 0, 1024)
+
 
 class World:
     def __init__(self):
@@ -184,16 +188,27 @@
             world.said.append("tried")
             raise OSError(errno.EMFILE, "too many")
 
-    clients = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), 1024)
+    clients = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), BOUNDS)
     world.scheduler.spawn("listener", lambda: clients.accept_ready(Listener()))
     world.scheduler.spawn("other", lambda: world.said.append("other"))
     assert world.pass_at(1000) == ["tried", "other"] and not world.faults
     assert clients.counters.counts["clients.turned_away"] == 1
 
 
+@pytest.mark.parametrize("descriptors", [384, 512])
+@pytest.mark.parametrize("megabytes", [32, 64, 192])
+def test_all_that_peers_can_fill_fits_into_the_memory_told(megabytes, descriptors):
+    """Guards against crowds on small machines: with all at its bound, an eighth is left for the rest."""
+    told = bounds(megabytes << 20, 18 << 20, descriptors)
+    connections = told.connections * (CONNECTION + told.unread)
+    filled = connections + told.calls * CALL + told.unsent + told.orders
+    assert filled <= (megabytes - 18 << 20) * 7 // 8
+    assert told.connections + told.calls < descriptors and told.connections >= 256
+
+
 def clients(world, most):
     """The connections of routers, as many as that, on socket pairs in place of a listener."""
-    some = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), most + PEERS_KEEP)
+    some = Clients(world.scheduler, Counters(), Log(world.scheduler, "t"), replace(BOUNDS, connections=most))
     theirs = []
 
     def join():
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -398,7 +398,7 @@
 def site():
     here = ("127.0.0.1", 1)
     deployment = Deployment([REDOABLE], cores=2)
-    return Site("t", here, here, here, None, 3 * SECOND, 64, deployment, ["lookup"], [], [])
+    return Site("t", here, here, here, None, 3 * SECOND, 64, 192 << 20, deployment, ["lookup"], [], [])
 
 
 @pytest.mark.parametrize("phase", Phase)
