Make a call that may be left out only where twice its recent time fits

At fault: next_calls in brain.py reckons with the mean time of a call, and in due order it is the ones that just fit that go out.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -42,6 +42,7 @@
 BEGUN = 1.5  # running limits that may have begun: those at calls come back beside what runs
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 IDLE = SECOND  # after which an idle connection is closed
+CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
 
@@ -435,8 +436,7 @@
             tx = next((t for _, _, t in self.hold if t.ready <= self.now or not self.crowded), None)
             if tx is None:
                 return
-            more = tx.size * (self.site.run_factor - 1)
-            if self.memory + more > MEMORY_USED * self.site.memory:
+            if self.memory + tx.size * (self.site.run_factor - 1) > MEMORY_USED * self.site.memory:
                 return
             yield tx, Go()
 
@@ -507,7 +507,7 @@
             heapq.heappop(self.lingering)
         space = self.call_time / (allowed := self.allowed_calls())
         for place, (*_, tx) in enumerate(list(self.queue)):
-            answer_at = self.now + place * space + self.call_time + self.rest(tx)
+            answer_at = self.now + place * space + CALL_ROOM * self.call_time + self.rest(tx)
             no_time = tx.profile.skip_payoff and self.call_time and answer_at >= self.wanted(tx)
             if no_time or (self.now >= tx.by and not tx.profile.late_payoff):
                 yield tx, GiveUp()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -142,6 +142,16 @@
     assert desk.wishes(more) == ["Start"] and desk.wishes(most) == ["Start", "Call"]
 
 
+@pytest.mark.parametrize(("left", "wish"), [(250, "Call"), (150, "SkipCall")])
+def test_a_call_that_may_be_left_out_is_made_where_it_fits_though_times_scatter(left, wish):
+    """Guards against calls that run out of time: they hold up the others and are left out all the same."""
+    desk = Desk(profile(skip_payoff=0.3), below=Below.SHARED, calls_share=4.0)
+    first, tx = desk.read(0), desk.read(0)
+    desk.at(0, first, tx).at(0, (first, NeedsCall())).at(100, (first, CallEnded(Outcome.HONOURED)), cpu=0.1)
+    desk.at(1000 - left, (tx, NeedsCall()), cpu=0.1)
+    assert desk.wishes(tx)[-1] == wish
+
+
 @pytest.mark.parametrize(("skip", "wish"), [(0.3, "SkipCall"), (0.0, "WriteOff")])
 def test_a_call_that_cannot_fit_is_left_out_or_ends_it_at_once(skip, wish):
     desk = Desk(profile(skip_payoff=skip), below=Below.SHARED, calls_share=1.0)
