Take out the idle time of Connection.serve, which nothing has used since each call has its own link

No behaviour changes; all tests pass unaltered. The comment on SIGHUP in __main__.py stands on a line of its own.

--- a/birchslip/__main__.py
+++ b/birchslip/__main__.py
@@ -12,9 +12,8 @@
 
 
 def main() -> int:
-    signal.signal(
-        signal.SIGHUP, signal.SIG_IGN
-    )  # until the program listens for it: nothing to read again yet
+    # Until the program listens for it: there is nothing to read again yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         site = read_site(os.environ)
         program = Program(site)
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -48,18 +48,10 @@
         self.malformed = False
         self.last = scheduler.now  # when something last went either way
 
-    def serve(self, take: Callable[[Buffer], None], idle: int = 0, keep: Callable[[], bool] = bool) -> str:
-        """Read until it ends and say why it did; `take` is called after each read.
-
-        With `idle`, it is closed once nothing has gone either way for so long, unless `keep` says otherwise.
-        """
+    def serve(self, take: Callable[[Buffer], None]) -> str:
+        """Read until it ends and say why it did; `take` is called after each read."""
         while self.open:
-            until = self.last + idle if idle else None
-            events = self.step(take, until)
-            if self.open and idle and not events and self.scheduler.now >= self.last + idle:
-                if not keep():
-                    self.close("idle")
-                self.last = self.scheduler.now
+            self.step(take)
         return self.why
 
     def step(self, take: Callable[[Buffer], None], until: int | None = None) -> int:
