Let a plan of the fleet override quotas and the order of refusal in the decisions

When a site is lost each app server sees only its own door and sheds blindly: the caller that came furthest against its quota pays, whether it is at home or a visitor. The source lets quotas be overridden in service; so a plan now reaches brain.py as a told Override with epoch, number and end. It tells quotas per tenant, the order of refusal (beyond a share, further tries, visitors by payoff per work, home), a level for one that is let back in, and whether nobody has room. Older epochs and numbers change nothing; one that is not told on fades out over its own span. The share of the calls below can be told anew as well. Without a plan every expression is what it was.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -17,8 +17,8 @@
 # isort: off
 from .interface import (
     NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Gauges, GiveUp,
-    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Place, Remember, Shed,
-    SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
+    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Override, Place, Refusal,
+    Remember, Shed, SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
 # isort: on
 # fmt: on
@@ -116,6 +116,7 @@
     def __init__(self, told: float = 0.0) -> None:
         self.ring, self.asked = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
         self.told = told
+        self.planned = 0.0  # the quota of the plan in force, 0 where it names none
         self.heard = 0
 
     def delay(self, now: int, quota: float) -> int:
@@ -161,6 +162,9 @@
         self.turned, self.shed_ages, self.came_back = (Ring(WINDOWS, WINDOW) for _ in range(3))
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
+        # the plan of the fleet, how far it holds still, and the share of the calls below
+        self.plan = Override(0, 0, now, 1)
+        self.force, self.calls_share = 0.0, deployment.calls_share
 
     # ---- the path of a transaction -------------------------------------------------------------------------
 
@@ -304,7 +308,8 @@
         could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
         if meter.told:
             heard = max(1, sum(1 for peer in self.tenants.values() if peer.ring.total(self.now) > 0))
-            return max(meter.told, could_serve / heard)
+            usual = max(meter.told, could_serve / heard)
+            return usual + (meter.planned - usual) * self.force if meter.planned else usual
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
         rate = max(QUOTA_SHARES * SECOND / (SPAN), could_serve / number)
         return rate * honoured / max(1, len(self.callers))
@@ -313,6 +318,48 @@
         """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it."""
         return float(tx.meter.asked.total(self.now) / (tx.meter.told or max(1.0, self.quota(tx.meter))))
 
+    # ---- the plan of the fleet: quotas told anew while in service ------------------------------------------
+
+    def take_over(self, plan: Override) -> bool:
+        """A plan comes into force, or the one in force is told on; an older one changes nothing.
+
+        Guards against a leader that has been followed by another, and against what comes late or twice.
+        """
+        age, held = (plan.epoch, plan.number), (self.plan.epoch, self.plan.number)
+        if age < held or (age == held and plan.until <= self.plan.until):
+            return False
+        self.plan = plan
+        for tenant, meter in self.tenants.items():
+            meter.planned = plan.quotas.get(tenant, 0.0)
+        self.weaken()
+        if age != held:
+            self.log(f"plan {plan.epoch}.{plan.number} in force: level {plan.level:.2f}, short {plan.short}")
+        return True
+
+    def weaken(self) -> None:
+        """A plan that is not told on fades out: at once, all that it kept away would come in one step."""
+        left = 1 - (self.now - self.plan.until) / self.plan.fade
+        force = min(1.0, max(0.0, left))
+        if self.force and not force:
+            self.log(f"plan {self.plan.epoch}.{self.plan.number} has run out")
+        self.force = force
+
+    def refusal(self, tx: Transaction) -> tuple[int, float, bool]:
+        """Who goes first: by the order of the plan in force, then who has come furthest against its quota."""
+        heavy = self.heaviness(tx)
+        if not self.force:
+            return 0, heavy, tx.again
+        order = self.plan.order
+        for place, kind in enumerate(order):
+            if kind is Refusal.BEYOND and tx.meter.delay(self.now, self.quota(tx.meter)):
+                return len(order) - place, heavy, tx.again
+            if kind is Refusal.AGAIN and tx.again:
+                return len(order) - place, heavy, True
+            if kind is Refusal.VISITOR and tx.caller in self.plan.visitors:
+                # By payoff per work: the least goes first.
+                return len(order) - place, self.typical(tx) / max(1e-9, tx.profile.payoff), tx.again
+        return 0, heavy, tx.again
+
     # ---- the hold ------------------------------------------------------------------------------------------
 
     def take_in(self, tx: Transaction) -> None:
@@ -394,7 +441,9 @@
         # A linear congruential generator; its high bits spread the moments at which callers come back.
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
         after = min(ceil(wait * (0.75 + (self.chance >> 40) / (1 << 25))), self.site.longest_advice)
-        return Shed(after, (self.crowded or self.storm) and self.stretch < SLOWED)
+        # Where the plan says that no app server has room, a try elsewhere is a try in vain.
+        full = self.crowded or self.storm or (self.plan.short and self.force > 0)
+        return Shed(after, full and self.stretch < SLOWED)
 
     def wait_for_core(self) -> float:
         full = len(self.on_cores) >= int(self.limit)
@@ -417,7 +466,7 @@
                 continue
             kept.append(tx)
             while self.now + ahead + least >= self.wanted(tx):
-                heavy = max(reversed(kept), key=lambda one: (self.heaviness(one), one.again))
+                heavy = max(reversed(kept), key=self.refusal)
                 kept.remove(heavy)
                 lost.append(heavy)
                 if heavy is tx:
@@ -493,7 +542,7 @@
     def allowed_calls(self) -> float:
         """How many calls may be in hand: the share told, less as they take longer than their base."""
         shared = self.site.below is Below.SHARED
-        own = max(0.01, self.site.calls_share) if shared else CROWD_USED * self.crowd()
+        own = max(0.01, self.calls_share) if shared else CROWD_USED * self.crowd()
         if not self.call_time or not self.calls.base:
             return own
         return max(min(1.0, own), own * CALLS_KEPT, own * min(1.0, self.calls.base / self.call_time))
@@ -519,9 +568,9 @@
         left = tx.due - self.now - TICK
         if tx.profile.skip_payoff:
             left = min(left, self.wanted(tx) - self.now - ceil(self.rest(tx)))
-        if self.site.below is Below.SHARED and self.site.calls_share < 1:
+        if self.site.below is Below.SHARED and self.calls_share < 1:
             # A share under one call: one alone may not fill the span by itself.
-            left = min(left, ceil(self.site.calls_share * self.site.calls_span) - self.site.linger)
+            left = min(left, ceil(self.calls_share * self.site.calls_span) - self.site.linger)
         return max(10, left)
 
     def call_over(self, tx: Transaction, event: Event) -> None:
@@ -580,6 +629,8 @@
         if self.crowded and now - self.logged >= SPAN:
             self.logged = now
             self.log(f"quota binds: {len(self.hold)} held, {len(self.on_cores)} on the cores")
+        if self.force:
+            self.weaken()
         self.move_limit()
         self.judge_health()
         self.close_idle()
@@ -594,6 +645,9 @@
         elif self.busy and self.limit > cores and now - self.limit_cut >= SPAN and self.runs_slowed():
             self.limit, self.limit_cut = self.limit * CUT, now
         self.limit = max(float(cores), min(self.limit, CROWD_USED * self.crowd()))
+        if self.force and self.plan.level < 1:
+            # Let back in by steps: only so many of its cores as the plan says, and more as the plan fades.
+            self.limit = max(1.0, cores * (1 - (1 - self.plan.level) * self.force))
 
     def runs_slowed(self) -> bool:
         recents = ((times.recent(self.now), times.base) for times in self.runs.values())
--- a/birchslip/deployment.py
+++ b/birchslip/deployment.py
@@ -115,6 +115,7 @@
                 outer=early(outer),
                 late_payoff=told.real(f"{name}.late_worth", 0.0),
                 window=late(told.real(f"{name}.window_s", 0.0)),
+                payoff=told.real(f"{name}.credit", 1.0),
                 skip_payoff=number(
                     told.listed("family_info.class_skip_worth", place, "0"), "family_info.class_skip_worth"
                 ),
--- a/birchslip/driver.py
+++ b/birchslip/driver.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from .brain import Brain
-from .interface import WAITS, Deployment, Event, Gauges, Notice, Transaction, Wish
+from .interface import WAITS, Deployment, Event, Gauges, Notice, Override, Transaction, Wish
 
 
 class Driver:
@@ -67,6 +67,14 @@
     def leave(self, end: int) -> None:
         self.brain.leave(end)
 
+    def override(self, plan: Override) -> bool:
+        """Whether the plan is in force now; one of an older epoch or number is ignored."""
+        return self.brain.take_over(plan)
+
+    def share(self, calls: float) -> None:
+        """How many calls to what lies below may be in hand from now on."""
+        self.brain.calls_share = calls
+
     def settle(self) -> None:
         """After each batch: the decisions pick who goes on, one at a time, and say what they have to say."""
         for transaction, event in self.brain.settle():
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -49,6 +49,7 @@
     late_payoff: float = 0.0
     window: int = 0
     skip_payoff: float = 0.0
+    payoff: float = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -268,6 +269,35 @@
 WAITS = (Wait, Start, Call, SkipCall, Attach)
 
 
+class Refusal(Enum):
+    """What a plan may have refused before other work; the operators order them."""
+
+    BEYOND = "beyond"  # beyond its tenant's share
+    AGAIN = "again"  # a further try or a second copy
+    VISITOR = "visitor"  # from the lost site, by payoff per work
+    HOME = "home"
+
+
+@dataclass(frozen=True, slots=True)
+class Override:
+    """A plan in force at this app server: quotas told anew while in service, and the order of refusal.
+
+    `epoch` is that of the plan's leader and `number` counts its plans. It holds until `until` and then fades
+    over `fade`. `quotas` are transactions a second here; `visitors` are callers whose home is lost. `level`
+    is the share of the cores that may be used while it is let back in; `short` says that no one has room.
+    """
+
+    epoch: int
+    number: int
+    until: int
+    fade: int
+    quotas: dict[Tenant, float] = field(default_factory=dict)
+    visitors: frozenset[int] = frozenset()
+    order: tuple[Refusal, ...] = tuple(Refusal)
+    level: float = 1.0
+    short: bool = False
+
+
 @dataclass(slots=True)
 class Gauges:
     """The app server's own gauges; None where it has no such gauge."""
