--- a/birchslip/__main__.py
+++ b/birchslip/__main__.py
@@ -11,12 +11,36 @@
 from .net.site import read_site
 
 
+def join(program: Program, path: str) -> None:
+    """The fleet's side is loaded where a fleet file is named, and nowhere else."""
+    from .fleet.fleetfile import read_fleet
+    from .fleet.member import Bond
+
+    site = program.site
+    bond = Bond(
+        program.scheduler,
+        program.counters,
+        program.log,
+        read_fleet(path),
+        site.name,
+        site.deployment,
+        site.tenants,
+    )
+    program.accompany(bond)
+
+
 def main() -> int:
+    if len(sys.argv) > 1:
+        from .cli import main as command
+
+        return command()
     # Until the program listens for it: there is nothing to read again yet.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         site = read_site(os.environ)
         program = Program(site)
+        if os.environ.get("BIRCHSLIP_FLEET"):
+            join(program, os.environ["BIRCHSLIP_FLEET"])
     except (Malformed, OSError) as trouble:
         print(f"birchslip: {trouble}", file=sys.stderr)
         return 2
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -328,11 +328,12 @@
         age, held = (plan.epoch, plan.number), (self.plan.epoch, self.plan.number)
         if age < held or (age == held and plan.until <= self.plan.until):
             return False
+        news = not self.force or (plan.level, plan.short) != (self.plan.level, self.plan.short)
         self.plan = plan
         for tenant, meter in self.tenants.items():
             meter.planned = plan.quotas.get(tenant, 0.0)
         self.weaken()
-        if age != held:
+        if news:
             self.log(f"plan {plan.epoch}.{plan.number} in force: level {plan.level:.2f}, short {plan.short}")
         return True
 
--- /dev/null
+++ b/birchslip/cli.py
@@ -0,0 +1,261 @@
+"""The command line: planners, the fleet file, operators' wishes. `python -m birchslip` alone is the app
+server.
+
+Exit codes: 0 good, 1 it did not hold, 2 it could not be asked.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+from .deployment import Malformed
+from .fleet.fleetfile import Fleet, read_fleet, schema
+from .fleet.records import Wish, encode
+from .net.buffer import Buffer
+from .net.clients import messages
+from .net.messagepack import pack
+
+PATIENCE = 2.0  # seconds for one planner
+FLEET = click.option(
+    "--fleet", "path", type=click.Path(), envvar="BIRCHSLIP_FLEET", required=True, help="The fleet file."
+)
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
+Command = TypeVar("Command", bound=Callable[..., Any])
+
+
+class NotAsked(click.ClickException):
+    """It could not be asked, or not be started."""
+
+    exit_code = 2
+
+
+class DidNotHold(click.ClickException):
+    exit_code = 1
+
+
+def fleet_of(path: str) -> Fleet:
+    try:
+        return read_fleet(path)
+    except (Malformed, OSError) as trouble:
+        raise NotAsked(str(trouble)) from None
+
+
+def ask(address: str, wish: Wish) -> Any:
+    """One question to one planner; OSError or Malformed says why there is no answer."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), PATIENCE) as link:
+        link.settimeout(PATIENCE)
+        link.sendall(pack([0, 1, "wish", [encode(wish)]]))
+        buffer = Buffer(1 << 22)
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until:
+            if not buffer.fill(link):
+                raise OSError("ended by the planner")
+            read, trouble = messages(buffer)
+            if trouble:
+                raise OSError(trouble)
+            for message in read:
+                _, _, error, result = message
+                if error is not None:
+                    raise Malformed(str(error))
+                return json.loads(b"".join(result))
+        raise OSError("no answer in time")
+
+
+def ask_any(fleet: Fleet, wish: Wish, planner: str = "") -> Any:
+    """The leader where it can be found, else whoever answers; wishes that change something want the
+    leader.
+    """
+    planners = [one for one in fleet.planners if planner in ("", one.name)]
+    if not planners:
+        raise NotAsked(f"no planner is named {planner!r}")
+    answers, troubles = [], []
+    for one in planners:
+        try:
+            answer = ask(one.address, wish)
+            if wish.what != "show" or answer.get("leads") or planner:
+                return answer
+            answers.append(answer)
+        except (OSError, ValueError) as trouble:
+            troubles.append(f"{one.name} at {one.address}: {trouble}")
+    if answers:
+        return answers[0]
+    raise NotAsked("no planner could be asked\n" + "\n".join(troubles))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def cli() -> None:
+    """birchslip: admission for app servers, and the fleet around them."""
+
+
+@cli.command()
+@FLEET
+@click.option("--name", required=True, help="Which planner of the fleet file this is.")
+@click.option("--folder", type=click.Path(path_type=Path), required=True, help="For what must survive.")
+def planner(path: str, name: str, folder: Path) -> None:
+    """Run one planner in the foreground until SIGTERM."""
+    from .fleet.planner import run_planner
+
+    try:
+        run_planner(fleet_of(path), name, folder)
+    except (Malformed, OSError) as trouble:
+        raise NotAsked(str(trouble)) from None
+
+
+@cli.group()
+def fleet() -> None:
+    """The fleet file, and the fleet as it is."""
+
+
+@fleet.command()
+@click.argument("path", type=click.Path())
+@AS_JSON
+def check(path: str, as_json: bool) -> None:
+    """Check a fleet file whole; a line for each trouble and exit code 2."""
+    told = fleet_of(path)
+    members = sum(len(site.members) for site in told.sites)
+    if as_json:
+        click.echo(json.dumps({"planners": len(told.planners), "sites": len(told.sites), "members": members}))
+    else:
+        click.echo(f"good: {len(told.planners)} planners, {len(told.sites)} sites, {members} members")
+
+
+@fleet.command("schema")
+def print_schema() -> None:
+    """The JSON Schema of the fleet file."""
+    click.echo(json.dumps(schema(), indent=2))
+
+
+@fleet.command()
+@FLEET
+@AS_JSON
+@click.option("--planner", "name", default="", help="Ask this one; else the leader.")
+def show(path: str, as_json: bool, name: str) -> None:
+    """Members, sites, epoch, the plan in force and why."""
+    told = ask_any(fleet_of(path), Wish(what="show"), name)
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    from .fleet.tables import show_fleet
+
+    show_fleet(told)
+
+
+@fleet.command("what-if")
+@FLEET
+@AS_JSON
+@click.option("--lose", required=True, help="The site that is lost.")
+def foresee(path: str, as_json: bool, lose: str) -> None:
+    """What the loss of a site would mean today; exit code 1 where load would be refused."""
+    told = ask_any(fleet_of(path), Wish(what="what-if", site=lose))
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        from .fleet.tables import show_loss
+
+        show_loss(told)
+    if told["short_by"] > 0 or told.get("vault", {}).get("short_by", 0) > 0:
+        raise SystemExit(1)
+
+
+def by_hand(path: str, as_json: bool, wish: Wish) -> None:
+    told = ask_any(fleet_of(path), wish)
+    done = "done" if told["done"] else "nothing to do"
+    click.echo(json.dumps(told) if as_json else f"{wish.what} {wish.site}: {done}")
+    if not told["done"]:
+        raise SystemExit(1)
+
+
+@fleet.command()
+@FLEET
+@AS_JSON
+@click.argument("site")
+@click.option("--who", required=True)
+@click.option("--why", required=True)
+def evacuate(path: str, as_json: bool, site: str, who: str, why: str) -> None:
+    """Send a site's load elsewhere by hand; only `return` lets it back."""
+    by_hand(path, as_json, Wish(what="evacuate", site=site, who=who, why=why))
+
+
+@fleet.command("return")
+@FLEET
+@AS_JSON
+@click.argument("site")
+@click.option("--who", required=True)
+def give_back(path: str, as_json: bool, site: str, who: str) -> None:
+    """Let a site back that was evacuated by hand, in the usual steps."""
+    by_hand(path, as_json, Wish(what="return", site=site, who=who))
+
+
+@cli.group()
+def lab() -> None:
+    """Rehearsals: real processes among stand-ins, with faults between them."""
+
+
+@lab.command("faults")
+@AS_JSON
+def faults(as_json: bool) -> None:
+    """The names that --fault takes."""
+    from .lab.faults import FAULTS
+
+    if as_json:
+        click.echo(json.dumps(FAULTS))
+    else:
+        for name, what in FAULTS.items():
+            click.echo(f"{name:24} {what}")
+
+
+@lab.group()
+def play() -> None:
+    """Play a schedule of faults among real processes."""
+
+
+@play.command("site-loss")
+@click.option("--seed", type=int, required=True)
+@click.option("--sites", type=click.IntRange(2, 9), default=3, show_default=True)
+@click.option("--each", type=click.IntRange(1, 32), default=4, show_default=True, help="App servers a site.")
+@click.option("--planners", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--load", type=click.FloatRange(0.05, 3.0), default=0.9, show_default=True)
+@click.option("--fault", default="kill", show_default=True)
+@click.option("--json", "out", type=click.Path(path_type=Path), default=None, help="Where the report goes.")
+@click.option("--logs", type=click.Path(path_type=Path), default=None, help="Keep the processes' logs here.")
+@click.option("--alone/--with-single-level", "alone", default=False, help="Without the comparison.")
+@click.option("--pace", type=click.FloatRange(0.3, 4.0), default=1.0, help="Lengths of the schedule's parts.")
+def site_loss(**told: Any) -> None:
+    """The loss of a site and its return; exit code 1 where a rule is broken."""
+    from .lab.faults import FAULTS
+    from .lab.site_loss import Told, play_site_loss
+
+    if told["fault"] not in FAULTS:
+        raise NotAsked(f"no fault is named {told['fault']!r}: see `lab faults`")
+    out = told.pop("out")
+    report = play_site_loss(Told(**told))
+    text = json.dumps(report, indent=2)
+    if out is None:
+        click.echo(text)
+    else:
+        out.write_text(text + "\n")
+        click.echo(json.dumps({"rules": report["rules"], "service": report["service"]}))
+    if any(report["rules"].values()) or report["dead"]:
+        raise SystemExit(1)
+
+
+def main() -> int:
+    try:
+        cli.main(prog_name="python -m birchslip", standalone_mode=False)
+    except click.ClickException as trouble:
+        trouble.show(sys.stderr)
+        return 2 if isinstance(trouble, click.UsageError) else trouble.exit_code
+    except click.Abort:
+        return 2
+    except SystemExit as end:
+        return int(end.code or 0)
+    return 0
--- /dev/null
+++ b/birchslip/fleet/fleetfile.py
@@ -0,0 +1,192 @@
+"""The operators' file of a fleet: JSON with a schema, checked whole before anything starts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from ..deployment import Malformed
+from ..interface import MS, Refusal
+from .records import Name, Part
+
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$", description="HOST:PORT"),
+]  # fmt: skip
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Router = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+Cost = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+
+
+class Piece(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A part of the file: a key that is not known is a mistake, never passed over."""
+
+
+class Planner(Piece):
+    """One planner: where members, other planners and operators find it."""
+
+    name: Name
+    address: Address
+
+
+class Member(Piece):
+    """One app server and where routers find it; `calls` overrides its even share of the vault."""
+
+    name: Name
+    address: Address
+    calls: Positive | None = None
+
+
+class Site(Piece):
+    """A site, its app servers, and the numbers of the routers at home there."""
+
+    name: Name
+    members: list[Member]
+    routers: list[Router] = []
+
+
+class Link(Piece):
+    """What it costs to send a site's load to another; links that are not told cost 1."""
+
+    source: Name = msgspec.field(name="from")
+    target: Name = msgspec.field(name="to")
+    cost: Cost
+
+
+class Vault(Piece):
+    """The shared vault: calls in hand that all may have together, and the part of a share that is never
+    lent.
+    """
+
+    total: Positive
+    kept: Part = 0.5
+    lease_ms: Milliseconds = 5_000
+
+
+class Fleet(Piece):
+    """A fleet: planners, sites, and what is agreed for the day a site is lost."""
+
+    planners: list[Planner]
+    sites: list[Site]
+    links: list[Link] = []
+    tenants: dict[Name, Part] = {}
+    refuse: list[Name] = msgspec.field(default_factory=lambda: [kind.value for kind in Refusal])
+    vault: Vault | None = None
+    report_ms: Milliseconds = 200
+    plan_ms: Milliseconds = 4_000
+    fade_ms: Milliseconds = 5_000
+    patience_ms: Milliseconds = 1_500
+
+    # ---- what follows from it --------------------------------------------------------------------------
+
+    @property
+    def order(self) -> tuple[Refusal, ...]:
+        return tuple(Refusal(word) for word in self.refuse)
+
+    @property
+    def costs(self) -> dict[tuple[str, str], float]:
+        return {(link.source, link.target): link.cost for link in self.links}
+
+    def bases(self) -> dict[str, float]:
+        """Each member's base share of the vault, in calls in hand."""
+        if self.vault is None:
+            return {}
+        members = [member for site in self.sites for member in site.members]
+        told = sum(member.calls for member in members if member.calls is not None)
+        even = [member for member in members if member.calls is None]
+        rest = max(0.0, self.vault.total - told) / max(1, len(even))
+        return {member.name: rest if member.calls is None else member.calls for member in members}
+
+    def site_of(self, member: str) -> Site | None:
+        return next((site for site in self.sites if any(one.name == member for one in site.members)), None)
+
+    def trouble(self) -> Iterator[str]:
+        """What the forms of the fields can't tell, a line each, with the place."""
+        yield from twice("planners", [one.name for one in self.planners], "name")
+        yield from twice("sites", [one.name for one in self.sites], "name")
+        if not self.planners:
+            yield "planners: there is none"
+        if len(self.planners) > 9:
+            yield f"planners: {len(self.planners)}, and nine at most can agree in time"
+        if not self.sites:
+            yield "sites: there is none"
+        members = [
+            (f"sites[{n}].members[{m}]", one)
+            for n, site in enumerate(self.sites)
+            for m, one in enumerate(site.members)
+        ]
+        yield from twice("sites", [one.name for _, one in members], "member")
+        places = [(f"planners[{n}]", one.address) for n, one in enumerate(self.planners)]
+        seen: dict[str, str] = {}
+        for place, address in [*places, *((place, one.address) for place, one in members)]:
+            if not 0 < int(address.rpartition(":")[2]) < 65_536:
+                yield f"{place}.address: no such port in {address!r}"
+            elif address in seen:
+                yield f"{place}.address: {address!r} stands at {seen[address]} too"
+            seen.setdefault(address, place)
+        routers: dict[int, str] = {}
+        for n, site in enumerate(self.sites):
+            if not site.members:
+                yield f"sites[{n}].members: site {site.name!r} has none"
+            for router in site.routers:
+                if router in routers:
+                    yield f"sites[{n}].routers: router {router} is at home in {routers[router]!r} too"
+                routers.setdefault(router, site.name)
+        names = {site.name for site in self.sites}
+        for n, link in enumerate(self.links):
+            for end in (link.source, link.target):
+                if end not in names:
+                    yield f"links[{n}]: no site is named {end!r}"
+            if link.source == link.target:
+                yield f"links[{n}]: from {link.source!r} to itself"
+        yield from twice("links", [f"{one.source} to {one.target}" for one in self.links], "link")
+        yield from self.order_trouble()
+        if sum(self.tenants.values()) > 1 + 1e-9:
+            yield f"tenants: the shares add up to {sum(self.tenants.values()):.3f}, more than 1"
+        if self.vault is not None and sum(self.bases().values()) > self.vault.total + 1e-9:
+            most = sum(self.bases().values())
+            yield f"vault.total: {self.vault.total:g}, and the members' calls add up to {most:g}"
+        if self.plan_ms < 4 * self.report_ms:
+            yield f"plan_ms: {self.plan_ms} is under four reports of {self.report_ms} ms: plans would lapse"
+
+    def order_trouble(self) -> Iterator[str]:
+        words = [kind.value for kind in Refusal]
+        for n, word in enumerate(self.refuse):
+            if word not in words:
+                yield f"refuse[{n}]: no such kind of refusal as {word!r}; there are {', '.join(words)}"
+        yield from twice("refuse", list(self.refuse), "kind")
+        if Refusal.HOME.value in self.refuse and self.refuse[-1] != Refusal.HOME.value:
+            yield "refuse: what stands behind 'home' can't be refused before it, as home is all that is left"
+
+
+def twice(place: str, names: list[str], what: str) -> Iterator[str]:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            yield f"{place}: the {what} {name!r} stands there twice"
+        seen.add(name)
+
+
+def read_fleet(path: str | Path) -> Fleet:
+    """Malformed or OSError says what is wrong: one plain line for each trouble, with its place."""
+    raw = Path(path).read_bytes()
+    try:
+        fleet: Fleet = msgspec.json.decode(raw, type=Fleet)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as trouble:
+        raise Malformed(f"{path}: {trouble}") from None
+    found = list(fleet.trouble())
+    if found:
+        raise Malformed("\n".join(f"{path}: {line}" for line in found))
+    return fleet
+
+
+def schema() -> dict[str, Any]:
+    """The JSON Schema, as it stands in `deploy/fleet.schema.json`."""
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", **msgspec.json.schema(Fleet)}
+
+
+def span(milliseconds: int) -> int:
+    return milliseconds * MS
--- /dev/null
+++ b/birchslip/fleet/gauges.py
@@ -0,0 +1,53 @@
+"""What a member measures of itself for its reports: rates over the last two seconds, and its room."""
+
+from __future__ import annotations
+
+from ..brain import Ring
+from ..interface import SECOND
+
+SLICES, SLICE = 8, 2_500  # two seconds, a quarter of a second at a time
+SPAN = SLICES * SLICE
+
+
+def room_of(limit: float, cores: int, usual: float) -> float:
+    """Transactions a second that the cores could do at the running limit; 0 while nothing is known of
+    them.
+    """
+    return max(float(cores), limit) * SECOND / usual if usual > 0 else 0.0
+
+
+class Rates:
+    """Counts in rings; no work grows with callers or history."""
+
+    def __init__(self, tenants: list[str]) -> None:
+        self.load = {name: Ring(SLICES, SLICE) for name in [*tenants, ""]}
+        self.visits, self.again, self.honoured, self.shed = (Ring(SLICES, SLICE) for _ in range(4))
+        self.counted = [0, 0]
+
+    def arrived(self, now: int, tenant: str, at_home: bool, again: bool) -> None:
+        if again:
+            self.again.add(now, 1)
+        elif not at_home:
+            self.visits.add(now, 1)
+        else:
+            self.load[tenant].add(now, 1)
+
+    def answered(self, now: int, honoured: int, shed: int) -> None:
+        """By what the counters stand at."""
+        self.honoured.add(now, honoured - self.counted[0])
+        self.shed.add(now, shed - self.counted[1])
+        self.counted = [honoured, shed]
+
+    def now(self, now: int) -> tuple[dict[str, float], float, float, float, float]:
+        """Rates a second: load by tenant, visits, further tries, honoured, shed."""
+        load = {name: ring.total(now) * SECOND / SPAN for name, ring in self.load.items() if name}
+        alone = self.load[""].total(now) * SECOND / SPAN
+        if alone or not load:
+            load["all"] = alone
+        return (
+            load,
+            *(
+                ring.total(now) * SECOND / SPAN
+                for ring in (self.visits, self.again, self.honoured, self.shed)
+            ),
+        )  # type: ignore[return-value]
--- /dev/null
+++ b/birchslip/fleet/mind.py
@@ -0,0 +1,419 @@
+"""What a planner decides: it hears reports, judges sites, makes plans and says what each member is told.
+
+Free of I/O and of clocks; `planner.py` carries it. All planners hear the members, so that whoever comes to
+lead knows them; only the leader tells anybody anything, and only what a majority keeps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from .comeback import Comeback, Stage
+from .fleetfile import Fleet, span
+from .membership import Member, Membership, Verdict
+from .records import Count, Keep, Name, Rate, Record, Reply, Report, Span, Tell, Words
+from .shares import Shares
+from .site_plan import Place, Plan, plan, what_if
+from .vote import Ballot
+
+AGAIN = 10_000  # while a site is out the plan is worked out anew once a second, from what is measured
+SMOOTH = 0.1  # of each look that goes into a site's usual load: about two seconds of it
+LOOK = 1_000  # sites are looked at ten times a second
+REPORTS = 2_000  # a second that one planner takes; larger fleets report less often
+WITNESSES = 3  # that are asked to knock at the doors of a site
+DOORS = 3  # that each is asked to knock at
+
+
+class SiteState(Record):
+    """What must survive of a site that is not at home."""
+
+    stage: Name
+    step: Count
+    flaps: Count
+    by_hand: bool
+    why: Words
+    load: dict[Name, Rate]
+    hold: Span
+
+
+class State(Record):
+    """What the leader has a majority keep."""
+
+    sites: dict[Name, SiteState] = msgspec.field(default_factory=dict)
+
+
+class Mind:
+    def __init__(self, fleet: Fleet, ballot: Ballot, now: int) -> None:
+        self.fleet, self.ballot = fleet, ballot
+        self.membership = Membership((site.name for site in fleet.sites), span(fleet.report_ms))
+        self.comebacks = {site.name: Comeback(site.name, since=now) for site in fleet.sites}
+        self.usual: dict[str, dict[str, float]] = {site.name: {} for site in fleet.sites}
+        self.again = dict.fromkeys(self.usual, 0.0)
+        self.home = {member.name: site.name for site in fleet.sites for member in site.members}
+        self.verdicts = dict.fromkeys(self.usual, Verdict.HERE)
+        self.bases = fleet.bases()
+        self.shares: Shares | None = None
+        self.reign = 0  # the epoch that this mind has taken over, 0 while it does not lead
+        self.number = 0
+        self.kept_number = 0  # the newest that a majority keeps
+        self.made = Plan()
+        self.told = Plan()  # the plan of the newest kept number
+        self.told_levels: dict[str, float] = {}
+        self.made_at = 0
+        self.remarks: list[tuple[str, dict[str, object]]] = []
+        self.doubt: list[Member] = []  # members of sites that have fallen silent
+        self.witnesses: list[Member] = []  # who may knock at their doors
+
+    # ---- who leads -------------------------------------------------------------------------------------
+
+    def rules(self, now: int) -> bool:
+        """Whether it leads and has told a majority what it found."""
+        return self.ballot.leads(now) and self.reign == self.ballot.epoch and self.kept_number > 0
+
+    def reigning(self, now: int) -> bool:
+        """Take over, or let go, as the vote has gone."""
+        if not self.ballot.leads(now):
+            if self.reign:
+                self.remark("no longer leads", epoch=self.reign)
+            self.reign = 0
+            return False
+        if self.reign != self.ballot.epoch:
+            self.reign, self.number, self.kept_number = self.ballot.epoch, 0, 0
+            self.take_state(self.ballot.newest[2], now)
+            vault = self.fleet.vault
+            if vault is not None:
+                self.shares = Shares(self.bases, vault.total, vault.kept, span(vault.lease_ms), now)
+            self.remark("leads", epoch=self.reign)
+            self.renew(now)
+        return True
+
+    def take_state(self, raw: bytes, now: int) -> None:
+        """What the leader before had others keep. One that can't be read is of a later version: none is
+        known.
+        """
+        try:
+            state = msgspec.json.decode(raw, type=State) if raw else State()
+        except msgspec.DecodeError as trouble:
+            self.remark("a kept state that can't be read", why=str(trouble))
+            state = State()
+        for name in list(self.comebacks):
+            kept = state.sites.get(name)
+            if kept is None:
+                self.comebacks[name] = Comeback(name, since=now)
+                continue
+            self.comebacks[name] = Comeback(
+                name,
+                Stage(kept.stage),
+                kept.step,
+                now,
+                kept.flaps,
+                hold=kept.hold,
+                by_hand=kept.by_hand,
+                why=kept.why,
+            )
+            self.usual[name] = dict(kept.load)
+
+    def state(self) -> bytes:
+        sites = {
+            name: SiteState(
+                stage=one.stage.value,
+                step=one.step,
+                flaps=one.flaps,
+                by_hand=one.by_hand,
+                why=one.why[:400],
+                load=self.usual[name],
+                hold=one.hold,
+            )
+            for name, one in self.comebacks.items()
+            if one.stage is not Stage.HOME or one.flaps
+        }
+        return msgspec.json.encode(State(sites=sites))
+
+    # ---- what comes in ---------------------------------------------------------------------------------
+
+    def hear(self, report: Report, now: int) -> Reply:
+        if self.home.get(report.name) != report.site:
+            self.remark("a report of one that is not in the fleet", member=report.name, site=report.site)
+            return self.silence(now)
+        self.membership.hear(report, now)
+        for knock in report.knocks:
+            self.membership.knocked(report.name, knock.name, knock.met, now)
+        if report.epoch > self.ballot.highest:
+            self.ballot.outrun(report.epoch)
+        member = self.membership.members.get(report.name)
+        if not self.rules(now) or member is None or member.incarnation != report.incarnation:
+            return self.silence(now)
+        lease = share = 0.0
+        if self.shares is not None:
+            kept = self.shares.kept * self.bases[report.name]
+            held = max(0.0, report.share - kept) if report.lease else 0.0
+            share = kept + self.shares.grant(report.name, self.wanted(member, now), held, now)
+            lease = self.shares.span
+        return Reply(
+            epoch=self.reign,
+            author=self.ballot.incarnation,
+            leads=True,
+            leader=self.ballot.name,
+            every=self.every(),
+            tell=self.tell(report.name),
+            share=share,
+            lease=int(lease),
+            knock=self.doors(report, now),
+        )
+
+    def silence(self, now: int) -> Reply:
+        """Nothing to obey: only where to ask."""
+        leader = self.ballot.granted_to[0] if now < self.ballot.granted_until else ""
+        return Reply(
+            epoch=self.ballot.durable.promised,
+            author=self.ballot.incarnation,
+            leads=False,
+            leader=leader,
+            every=self.every(),
+        )
+
+    def every(self) -> int:
+        """How often a member reports: seldomer in a large fleet, so that a planner is not drowned."""
+        return max(span(self.fleet.report_ms), len(self.home) * 10_000 // REPORTS)
+
+    def doors(self, report: Report, now: int) -> dict[str, str]:
+        """At which doors this member is asked to knock: few, and of silent sites that are not its own."""
+        doubtful = [one for one in self.doubt if one.site != report.site]
+        if not doubtful:
+            return {}
+        able = [one.name for one in self.witnesses if one.site == report.site][:WITNESSES]
+        if report.name not in able:
+            return {}
+        first = able.index(report.name)
+        some = [doubtful[(first + step) % len(doubtful)] for step in range(min(DOORS, len(doubtful)))]
+        return {one.name: one.report.door for one in some}
+
+    def heard_here(self, names: list[str], now: int) -> list[str]:
+        """Those of the leader's doubtful members whose own reports come here."""
+        members = (self.membership.members.get(name) for name in names)
+        lately = 4 * self.every()
+        return [
+            one.name
+            for one in members
+            if one is not None and not one.broken and now - one.suspicion.last <= lately
+        ]
+
+    # ---- what it comes to ------------------------------------------------------------------------------
+
+    def look(self, now: int) -> None:
+        """A look at all sites; changes of the plan wait for a majority to keep them."""
+        self.membership.every = self.every()
+        self.measure(now)
+        self.doubt = self.membership.doubtful(now)
+        self.witnesses = (
+            [one for site in self.comebacks for one in self.membership.alive(site, now)] if self.doubt else []
+        )
+        if not self.reigning(now):
+            return
+        changed = False
+        for site, comeback in self.comebacks.items():
+            verdict = self.membership.verdict(site, now)
+            if verdict is not self.verdicts[site]:
+                self.remark(
+                    "verdict on a site", site=site, before=self.verdicts[site].value, now=verdict.value
+                )
+                self.verdicts[site] = verdict
+            if verdict is Verdict.LOST and comeback.lost(now, "no planner hears it and its doors are shut"):
+                self.remark("site lost", site=site, flaps=comeback.flaps, why=comeback.why)
+                changed = True
+            elif comeback.stage is not Stage.HOME:
+                shown = [one.report for one in self.membership.alive(site, now)]
+                word = comeback.look(shown, len(self.members_of(site)), now)
+                if word:
+                    self.remark(
+                        "site moves", site=site, stage=comeback.stage.value, level=comeback.level, why=word
+                    )
+                    changed = True
+        out = any(one.stage is not Stage.HOME for one in self.comebacks.values())
+        if changed or (out and now - self.made_at >= AGAIN):
+            self.renew(now)
+
+    def measure(self, now: int) -> None:
+        """The usual load of each site, as long as it is at home and heard."""
+        if any(one.stage is not Stage.HOME for one in self.comebacks.values()) or self.doubt:
+            return
+        for site, usual in self.usual.items():
+            there = self.membership.alive(site, now)
+            for tenant in {name for one in there for name in one.report.load} | set(usual):
+                rate = sum(one.report.load.get(tenant, 0.0) for one in there)
+                usual[tenant] = usual.get(tenant, rate) * (1 - SMOOTH) + rate * SMOOTH
+            again = sum(one.report.again for one in there)
+            self.again[site] += (again - self.again[site]) * SMOOTH
+
+    def places(self) -> list[Place]:
+        """The sites as they are now, for the plan."""
+        made = []
+        for site, comeback in self.comebacks.items():
+            members = self.membership.sites[site].values()
+            rooms = {one.name: one.report.room for one in members if not one.report.leaving}
+            lost = comeback.stage in (Stage.LOST, Stage.WAITING)
+            made.append(Place(site, rooms, self.usual[site], self.again[site], lost, comeback.level))
+        return made
+
+    def renew(self, now: int) -> None:
+        """A new plan; it is told once a majority keeps it."""
+        self.number += 1
+        self.made_at = now
+        self.made = plan(self.places(), self.fleet.tenants, self.fleet.costs, self.fleet.order)
+
+    def keep(self) -> Keep | None:
+        """What others are to keep, where the newest plan is not kept yet."""
+        if not self.reign or self.kept_number >= self.number:
+            return None
+        return Keep(
+            epoch=self.reign,
+            number=self.number,
+            name=self.ballot.name,
+            incarnation=self.ballot.incarnation,
+            state=self.state(),
+        )
+
+    def kept(self, number: int) -> None:
+        """A majority keeps it: from now on members are told."""
+        if number == self.number and number > self.kept_number:
+            self.kept_number, self.told = number, self.made
+            self.told_levels = {name: one.level for name, one in self.comebacks.items()}
+
+    def tell(self, name: str) -> Tell | None:
+        """The plan as this member is told it; none while every site is at home."""
+        levels = self.told_levels
+        if all(level == 1 for level in levels.values()):
+            return None
+        level = levels[self.home[name]]
+        away = [site for site, part in levels.items() if part < 1]
+        visitors = [router for site in self.fleet.sites if site.name in away for router in site.routers]
+        home = self.home[name] in away
+        return Tell(
+            epoch=self.reign,
+            plan=self.kept_number,
+            span=span(self.fleet.plan_ms),
+            fade=span(self.fleet.fade_ms),
+            quotas=self.told.quotas.get(name, {}),
+            visitors=[] if home else visitors,
+            order=list(self.fleet.refuse),
+            level=level,
+            listed=level > 0,
+            short=self.told.short,
+        )
+
+    def members_of(self, site: str) -> list[str]:
+        return [name for name, home in self.home.items() if home == site]
+
+    def wanted(self, member: Member, now: int) -> float:
+        """The leased part that a member should have: its own, and of what lost members had by what it
+        takes on.
+        """
+        assert self.shares is not None
+        own = self.shares.own(member.name)
+        levels = self.told_levels
+        visiting = self.told.visiting.get(member.site, 0.0)
+        if levels.get(member.site, 1.0) <= 0:
+            return 0.0
+        away = sum(self.shares.own(name) for name, site in self.home.items() if levels.get(site, 1.0) <= 0)
+        taken = sum(amount for site, amount in self.told.visiting.items() if levels.get(site, 1.0) > 0)
+        if not away or not taken or not visiting:
+            return own
+        beside = max(1, sum(1 for one in self.membership.alive(member.site, now)))
+        return own + away * visiting / taken / beside
+
+    # ---- operators -------------------------------------------------------------------------------------
+
+    def evacuate(self, site: str, who: str, why: str, now: int) -> bool:
+        if not self.comebacks[site].lost(now, f"by hand: {who}: {why}"[:300], by_hand=True):
+            return False
+        self.remark("site evacuated by hand", site=site, who=who, why=why)
+        self.renew(now)
+        return True
+
+    def give_back(self, site: str, who: str, now: int) -> bool:
+        if not self.comebacks[site].let_back(now):
+            return False
+        self.remark("site let back by hand", site=site, who=who)
+        self.renew(now)
+        return True
+
+    def foresee(self, lose: str) -> dict[str, object]:
+        """What the loss of a site would mean today."""
+        places = self.places()
+        made = what_if(places, lose, self.fleet.tenants, self.fleet.costs, self.fleet.order)
+        rooms = {place.name: place.room for place in places if place.name != lose}
+        out: dict[str, object] = {
+            "lose": lose,
+            "load": sum(sum(place.load.values()) for place in places if place.name == lose),
+            "flows": [[a, b, amount] for (a, b), amount in sorted(made.flows.items()) if a == lose],
+            "refused": {kind.value: amount for kind, amount in made.refused.items()},
+            "refused_at": made.refused_at,
+            "room": rooms,
+            "short_by": made.refused_in_all(),
+        }
+        if self.shares is not None:
+            gone = set(self.members_of(lose))
+            calls = sum(one.report.calls for one in self.membership.members.values())
+            stays = sum(base for name, base in self.bases.items() if name not in gone)
+            stays += sum(self.shares.own(name) for name in gone)
+            out["vault"] = {"calls": calls, "may_be": stays, "short_by": max(0.0, calls - stays)}
+        return out
+
+    def show(self, now: int) -> dict[str, object]:
+        """Everything an operator may want to see, from any planner."""
+        members = [
+            {
+                "name": one.name,
+                "site": one.site,
+                "life": one.life(now, self.every()).value,
+                "incarnation": one.incarnation.mark,
+                "restarts": one.restarts,
+                "phi": round(one.suspicion.phi(now), 2),
+                "room": round(one.report.room, 1),
+                "load": round(sum(one.report.load.values()), 1),
+                "visits": round(one.report.visits, 1),
+                "shed": round(one.report.shed, 1),
+                "pace": round(one.report.pace, 2),
+                "calls": one.report.calls,
+                "share": round(one.report.share, 2),
+                "plan": f"{one.report.epoch}.{one.report.plan}",
+            }
+            for one in sorted(self.membership.members.values(), key=lambda one: (one.site, one.name))
+        ]
+        sites = [
+            {
+                "name": name,
+                "verdict": self.membership.verdict(name, now).value,
+                "stage": comeback.stage.value,
+                "level": comeback.level,
+                "flaps": comeback.flaps,
+                "by_hand": comeback.by_hand,
+                "why": comeback.why,
+                "load": round(sum(self.usual[name].values()), 1),
+                "visiting": round(self.told.visiting.get(name, 0.0), 1),
+                "refused": round(self.told.refused_at.get(name, 0.0), 1),
+            }
+            for name, comeback in self.comebacks.items()
+        ]
+        return {
+            "planner": self.ballot.name,
+            "leads": self.rules(now),
+            "leader": self.ballot.name if self.rules(now) else self.silence(now).leader,
+            "epoch": self.ballot.durable.promised,
+            "plan": self.kept_number,
+            "short": self.told.short,
+            "refused": {kind.value: round(amount, 1) for kind, amount in self.told.refused.items()},
+            "blank": self.ballot.durable.blank,
+            "sites": sites,
+            "members": members,
+        }
+
+    def remark(self, event: str, **more: object) -> None:
+        if len(self.remarks) < 256:
+            self.remarks.append((event, more))
+
+    def take_remarks(self) -> Iterator[tuple[str, dict[str, object]]]:
+        remarks, self.remarks = self.remarks, []
+        yield from remarks
--- /dev/null
+++ b/birchslip/fleet/obey.py
@@ -0,0 +1,71 @@
+"""A member's side: which planner's word holds, until when, and what is left when none is heard.
+
+A word holds only from the highest epoch heard, and within an epoch from the one planner that used it. Spans
+count from when the member sent what the word answers, on a clock that does not jump: a word that was long
+on its way, or written by a leader that was paused meanwhile, is over by the time it comes.
+"""
+
+from __future__ import annotations
+
+from .records import Incarnation, Reply, Tell
+
+
+class Obedience:
+    """`kept` is the part of the vault's share that needs no lease; `patience` how long a start waits for
+    a word.
+    """
+
+    def __init__(self, kept: float, patience: int, now: int) -> None:
+        self.kept, self.listed_from = kept, now + patience
+        self.epoch = 0
+        self.author = Incarnation()
+        self.plan: Tell | None = None
+        self.plan_until = 0
+        self.number = 0
+        self.share, self.lease_until = kept, 0
+        self.told_listed: bool | None = None
+        self.every = 0
+        self.refused = 0
+        self.knock: dict[str, str] = {}
+
+    def take(self, reply: Reply, sent: int, now: int) -> bool:
+        """Whether the word is one to obey."""
+        if not reply.leads:
+            return False
+        if reply.epoch < self.epoch or (reply.epoch == self.epoch and reply.author != self.author):
+            self.refused += 1
+            return False
+        if reply.epoch > self.epoch:
+            self.epoch, self.author, self.number = reply.epoch, reply.author, 0
+        self.every = reply.every
+        self.knock = reply.knock
+        tell = reply.tell
+        if tell is None:
+            self.told_listed = True
+        elif tell.epoch == self.epoch and tell.plan >= self.number and sent + tell.span > now:
+            # A word that came late may be over already, or older than the plan that is held.
+            if tell.plan > self.number or sent + tell.span > self.plan_until:
+                self.plan_until = sent + tell.span
+            self.plan, self.number, self.told_listed = tell, tell.plan, tell.listed
+        if reply.lease and sent + reply.lease > max(now, self.lease_until):
+            self.share, self.lease_until = max(self.kept, reply.share), sent + reply.lease
+        return True
+
+    def calls(self, now: int) -> float:
+        """The calls that may be in hand at this moment."""
+        return self.share if now < self.lease_until else self.kept
+
+    def lease_left(self, now: int) -> int:
+        return max(0, self.lease_until - now)
+
+    def left(self, now: int) -> int:
+        """How long the plan that is held still holds, at full strength."""
+        return max(0, self.plan_until - now)
+
+    def listed(self, now: int) -> bool:
+        """Whether routers may find it: as the plan in force says, and as ever where there is none."""
+        if self.told_listed is None:
+            return now >= self.listed_from
+        if self.plan is not None and not self.told_listed:
+            return now >= self.plan_until + self.plan.fade
+        return self.told_listed
--- /dev/null
+++ b/birchslip/fleet/site_plan.py
@@ -0,0 +1,209 @@
+"""Where the load of lost sites goes, the level that each survivor takes, and what is refused first.
+
+Worked out from measured room, not from nominal size. What routers do is not ours to say: the plan says what
+survivors let in. Three steps, each over sites or tenants, and one pass over members:
+
+1. *What must be refused*: as much as all load is past all room, in the operators' order.
+2. *Where the rest goes*: home load stays at home, the rest takes the cheapest link that still has room.
+3. *Quotas*: each site's room is shared out to tenants by water-filling, so that none within its share gets
+   less than that share while another gets more than its own.
+
+Rates are transactions a second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..interface import Refusal
+
+DUST = 1e-9
+
+
+@dataclass(slots=True)
+class Place:
+    """A site as it was measured: the room of each member, and the first tries of its own callers by
+    tenant.
+    """
+
+    name: str
+    rooms: dict[str, float]
+    load: dict[str, float]
+    again: float = 0.0  # further tries
+    lost: bool = False
+    level: float = 1.0  # of its room that may be used: less while it comes back
+
+    @property
+    def room(self) -> float:
+        return 0.0 if self.lost else self.level * sum(self.rooms.values())
+
+
+@dataclass(slots=True)
+class Plan:
+    """`flows` are from site to site, home load included; `refused` is by what it was refused for."""
+
+    flows: dict[tuple[str, str], float] = field(default_factory=dict)
+    refused: dict[Refusal, float] = field(default_factory=dict)
+    refused_at: dict[str, float] = field(default_factory=dict)  # by home site
+    level: dict[str, float] = field(default_factory=dict)  # by member: what it takes over its room
+    quotas: dict[str, dict[str, float]] = field(default_factory=dict)  # by member and tenant
+    visiting: dict[str, float] = field(default_factory=dict)  # by site: visitors that it takes
+    short: bool = False
+
+    def refused_in_all(self) -> float:
+        return sum(self.refused.values())
+
+
+def water(room: float, demands: Mapping[str, float], weights: Mapping[str, float]) -> dict[str, float]:
+    """Max-min fair parts of the room: nobody within its weighted share gets less than it asks for."""
+    parts = dict.fromkeys(demands, 0.0)
+    thirsty = sorted(demands, key=lambda name: demands[name] / max(DUST, weights.get(name, 0.0)))
+    weight = sum(max(DUST, weights.get(name, 0.0)) for name in thirsty)
+    for name in thirsty:
+        share = max(DUST, weights.get(name, 0.0))
+        parts[name] = min(demands[name], room * share / weight)
+        room -= parts[name]
+        weight -= share
+    return parts
+
+
+def even(tenants: Mapping[str, float], places: list[Place]) -> dict[str, float]:
+    """The tenants' shares, made to add up to 1; even ones where none are told."""
+    names = {tenant for place in places for tenant in place.load} | set(tenants)
+    told = {name: tenants.get(name, 0.0) for name in sorted(names)}
+    total = sum(told.values())
+    if total <= 0:
+        return dict.fromkeys(told, 1 / max(1, len(told)))
+    return {name: share / total for name, share in told.items()}
+
+
+def refuse(
+    places: list[Place], shares: Mapping[str, float], order: tuple[Refusal, ...], room: float
+) -> tuple[dict[str, dict[str, float]], dict[Refusal, float]]:
+    """What is still let in of each site's load by tenant, and what was refused for which reason."""
+    left = {place.name: dict(place.load) for place in places}
+    lost = {place.name for place in places if place.lost or place.level < 1}
+    again = sum(place.again for place in places)
+    refused = dict.fromkeys(Refusal, 0.0)
+    excess = sum(sum(load.values()) for load in left.values()) + again - room
+    for kind in (*order, Refusal.HOME):
+        if excess <= DUST:
+            break
+        if kind is Refusal.AGAIN:
+            refused[kind] = min(again, excess)
+            excess -= refused[kind]
+            continue
+        pool = pool_of(kind, left, lost, shares, room)
+        size = sum(pool.values())
+        if size <= DUST:
+            continue
+        part = min(1.0, excess / size)
+        for (site, tenant), amount in pool.items():
+            left[site][tenant] -= part * amount
+        refused[kind] += part * size
+        excess -= part * size
+    return left, {kind: amount for kind, amount in refused.items() if amount > DUST}
+
+
+def pool_of(
+    kind: Refusal,
+    left: dict[str, dict[str, float]],
+    lost: set[str],
+    shares: Mapping[str, float],
+    room: float,
+) -> dict[tuple[str, str], float]:
+    """What a kind of refusal may take, by home site and tenant."""
+    if kind is Refusal.VISITOR:
+        return {(site, tenant): rate for site in lost for tenant, rate in left[site].items()}
+    if kind is Refusal.HOME:
+        return {(site, tenant): rate for site in left for tenant, rate in left[site].items()}
+    asked: dict[str, float] = {}
+    for load in left.values():
+        for tenant, rate in load.items():
+            asked[tenant] = asked.get(tenant, 0.0) + rate
+    beyond = {
+        tenant: max(0.0, 1 - shares.get(tenant, 0.0) * room / rate)
+        for tenant, rate in asked.items()
+        if rate > 0
+    }
+    return {
+        (site, tenant): rate * beyond.get(tenant, 0.0) for site in left for tenant, rate in left[site].items()
+    }
+
+
+def plan(
+    places: list[Place],
+    tenants: Mapping[str, float],
+    costs: Mapping[tuple[str, str], float],
+    order: tuple[Refusal, ...] = tuple(Refusal),
+) -> Plan:
+    """The plan for the sites as they are. `costs` are of links between sites; one that is not told costs
+    1.
+    """
+    made = Plan()
+    shares = even(tenants, places)
+    room = sum(place.room for place in places)
+    left, made.refused = refuse(places, shares, order, room)
+    made.short = made.refused_in_all() > DUST
+    for place in places:
+        asked, let = sum(place.load.values()), sum(left[place.name].values())
+        made.refused_at[place.name] = max(0.0, asked - let)
+    spare = {place.name: place.room for place in places if place.room > 0}
+    owing = {place.name: sum(left[place.name].values()) for place in places}
+    # Home load stays where it is as far as it fits, and only then what has no home takes what is free.
+    for site in spare:
+        move(made, owing, spare, site, site)
+    pairs = [(costs.get((a, b), 1.0), a, b) for a in owing for b in spare if a != b and owing[a] > DUST]
+    for _, a, b in sorted(pairs):
+        move(made, owing, spare, a, b)
+    for place in places:
+        if not place.room:
+            continue
+        hand_out(made, place, left, shares)
+    return made
+
+
+def move(made: Plan, owing: dict[str, float], spare: dict[str, float], a: str, b: str) -> None:
+    amount = min(owing[a], spare[b])
+    if amount > DUST:
+        made.flows[a, b] = made.flows.get((a, b), 0.0) + amount
+        owing[a] -= amount
+        spare[b] -= amount
+
+
+def hand_out(made: Plan, place: Place, left: dict[str, dict[str, float]], shares: dict[str, float]) -> None:
+    """A site's room to its members and tenants; all members of one site stand alike."""
+    demands = dict.fromkeys(shares, 0.0)
+    taken = 0.0
+    for (a, b), amount in made.flows.items():
+        if b != place.name:
+            continue
+        taken += amount
+        total = sum(left[a].values())
+        for tenant, rate in left[a].items():
+            demands[tenant] += amount * rate / total
+    made.visiting[place.name] = taken - made.flows.get((place.name, place.name), 0.0)
+    parts = water(place.room, demands, shares)
+    # What nobody asks for is there for whoever comes, by share: a quota only binds where there is no room.
+    over = max(0.0, place.room - sum(parts.values()))
+    quota = {tenant: parts[tenant] + over * shares[tenant] for tenant in shares}
+    whole = sum(place.rooms.values())
+    for member, room in place.rooms.items():
+        made.level[member] = min(1.0, taken / place.room)
+        made.quotas[member] = {tenant: rate * room / whole for tenant, rate in quota.items()}
+
+
+def what_if(
+    places: list[Place],
+    lose: str,
+    tenants: Mapping[str, float],
+    costs: Mapping[tuple[str, str], float],
+    order: tuple[Refusal, ...] = tuple(Refusal),
+) -> Plan:
+    """What the loss of a site would mean today."""
+    then = [
+        Place(one.name, one.rooms, one.load, one.again, one.lost or one.name == lose, one.level)
+        for one in places
+    ]
+    return plan(then, tenants, costs, order)
--- /dev/null
+++ b/birchslip/fleet/vote.py
@@ -0,0 +1,249 @@
+"""Who leads: a lease by a majority of planners, under an epoch that fences the leader before.
+
+The roads weighed are in `docs/fleet.md`. What holds, and by which rule:
+
+- *Never two leaders at once.* A planner grants its vote to one at a time, for `LEASE` counted from when it
+  was asked for; the leader counts the same lease from when it *sent* the question, and less by a margin for
+  clocks that go at different speeds. One that has just started grants nothing for a whole lease: it may
+  have granted one in its life before.
+- *A leader that has been paused can't be obeyed.* Epochs rise and are never used by two planners; those who
+  obey know the highest that they have heard, and refuse what is older.
+- *What was kept by a majority is not forgotten.* Whoever leads takes the newest state that its voters keep.
+  One with an empty or old disk does not vote until it has heard all the others or the leader has told it
+  again; an old disk shows by a life that the others have seen go by.
+
+`asked` and `keep` change what must survive: the caller flushes `durable` before it answers.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from .records import Answer, Ask, Incarnation, Keep, Kept
+
+LEASE = 10_000  # a second
+DRIFT = 0.02
+RENEW = 2_500  # four questions in a lease: three may be lost
+JITTER = 2_500  # candidates try at different times, or they would split the votes for ever
+WIDTH = 64  # planners: an epoch's rest by it names the planner that may use it
+
+
+@dataclass(slots=True)
+class Durable:
+    """What survives a restart. `blank` says that it is not, or may not be, what this planner last had."""
+
+    life: int = 0
+    promised: int = 0
+    promised_to: str = ""
+    promised_mark: int = 0
+    state_epoch: int = 0
+    state_number: int = 0
+    state: bytes = b""
+    blank: bool = True
+
+
+@dataclass(slots=True)
+class Ballot:
+    """One planner's part in the vote. Times are of a clock that doesn't jump."""
+
+    name: str
+    planners: list[str]
+    durable: Durable
+    mark: int
+    now: int
+    chance: random.Random
+    dirty: bool = True
+    seen: dict[str, Incarnation] = field(default_factory=dict)
+    told: dict[str, Answer] = field(default_factory=dict)  # by all others, since this one is blank
+    granted_to: tuple[str, int] = ("", 0)
+    granted_until: int = 0
+    quiet_until: int = 0
+    epoch: int = 0  # of its own candidacy or leadership
+    grants: dict[str, int] = field(default_factory=dict)  # voter: when the question was sent
+    highest: int = 0  # epoch heard of, from whomever: the next candidacy begins above it
+    overtaken: int = 0  # the highest that is known to be obeyed
+    next_ask: int = 0
+    newest: tuple[int, int, bytes] = (0, 0, b"")
+    kept_by: dict[int, set[str]] = field(default_factory=dict)  # number: planners that keep it
+    fenced: bool = True  # off only in the tests that show what it is for
+
+    def __post_init__(self) -> None:
+        self.durable.life += 1
+        self.quiet_until = self.now + int(LEASE * (1 + DRIFT))
+        self.next_ask = self.now + self.chance.randrange(JITTER)
+        self.highest = self.durable.promised
+        if len(self.planners) == 1:
+            self.durable.blank = False
+
+    @property
+    def incarnation(self) -> Incarnation:
+        return Incarnation(life=self.durable.life, mark=self.mark)
+
+    @property
+    def majority(self) -> int:
+        return len(self.planners) // 2 + 1
+
+    # ---- as a voter ------------------------------------------------------------------------------------
+
+    def meet(self, name: str, incarnation: Incarnation, seen: dict[str, Incarnation]) -> None:
+        """What another planner shows: which life it is in, and which of mine it has seen."""
+        known = self.seen.get(name)
+        if known is None or incarnation.life >= known.life:
+            self.seen[name] = incarnation
+        mine = seen.get(self.name)
+        if mine is not None and mine.mark != self.mark and mine.life >= self.durable.life:
+            # My disk is older than I was: what I promised since is not on it.
+            self.durable.life = mine.life + 1
+            self.durable.blank = True
+            self.told.clear()
+            self.dirty = True
+
+    def asked(self, ask: Ask, now: int) -> Answer:
+        self.now = max(self.now, now)
+        if ask.name != self.name:
+            self.meet(ask.name, ask.incarnation, ask.seen)
+        asker = (ask.name, ask.incarnation.mark)
+        durable = self.durable
+        self.highest = max(self.highest, ask.epoch)
+        granted = (
+            ask.epoch > 0
+            and not durable.blank
+            and self.now >= self.quiet_until
+            and (self.now >= self.granted_until or self.granted_to == asker)
+            and (
+                ask.epoch > durable.promised
+                or (ask.epoch, *asker) == (durable.promised, durable.promised_to, durable.promised_mark)
+            )
+        )
+        if granted:
+            if ask.epoch != durable.promised:
+                durable.promised, durable.promised_to, durable.promised_mark = ask.epoch, *asker
+                self.dirty = True
+            self.granted_to, self.granted_until = asker, self.now + LEASE
+            if ask.name != self.name:
+                self.next_ask = self.granted_until + self.chance.randrange(JITTER)
+        return self.answer(granted)
+
+    def answer(self, granted: bool) -> Answer:
+        durable = self.durable
+        return Answer(
+            granted=granted,
+            epoch=durable.promised,
+            name=self.name,
+            incarnation=self.incarnation,
+            new=durable.blank,
+            held=max(0, max(self.granted_until, self.quiet_until) - self.now),
+            state_epoch=durable.state_epoch,
+            state_number=durable.state_number,
+            state=durable.state,
+            seen=self.seen,
+        )
+
+    def keep(self, told: Keep, now: int) -> Kept:
+        """The leader's state, to be kept before anybody is told of it; a leader of older days is refused."""
+        self.now = max(self.now, now)
+        durable = self.durable
+        self.highest = max(self.highest, told.epoch)
+        if self.fenced and told.epoch < durable.promised:
+            return Kept(kept=False, epoch=durable.promised, name=self.name)
+        if told.epoch > durable.promised:
+            durable.promised, durable.promised_to = told.epoch, told.name
+            durable.promised_mark = told.incarnation.mark
+            self.dirty = True
+        if (told.epoch, told.number) > (durable.state_epoch, durable.state_number) or durable.blank:
+            durable.state_epoch, durable.state_number = told.epoch, told.number
+            durable.state = told.state
+            durable.blank = False
+            self.dirty = True
+        return Kept(kept=True, epoch=durable.promised, name=self.name)
+
+    # ---- as a candidate and a leader -------------------------------------------------------------------
+
+    def ask(self, now: int) -> Ask | None:
+        """The question to put to all planners, oneself included, where it is time for one."""
+        self.now = max(self.now, now)
+        if self.now < self.next_ask:
+            return None
+        if self.durable.blank:
+            self.next_ask = self.now + RENEW
+            return self.question(0)  # it asks what the others know, and for nothing
+        if self.leads(now):
+            self.next_ask = self.now + RENEW
+            return self.question(self.epoch)
+        if self.now < self.granted_until and self.granted_to[0] != self.name:
+            self.next_ask = self.granted_until + self.chance.randrange(JITTER)
+            return None
+        if self.now < self.quiet_until:
+            self.next_ask = self.quiet_until + self.chance.randrange(JITTER)
+            return None
+        self.epoch = self.next_epoch()
+        self.grants.clear()
+        self.kept_by.clear()
+        self.newest = (0, 0, b"")
+        self.next_ask = self.now + RENEW + self.chance.randrange(JITTER)
+        return self.question(self.epoch)
+
+    def question(self, epoch: int) -> Ask:
+        return Ask(epoch=epoch, name=self.name, incarnation=self.incarnation, seen=self.seen)
+
+    def next_epoch(self) -> int:
+        """Above all that was heard of, and never another planner's."""
+        place = self.planners.index(self.name)
+        return (max(self.highest, self.durable.promised) // WIDTH + 1) * WIDTH + place
+
+    def answered(self, answer: Answer, epoch: int, sent: int, now: int) -> None:
+        """`epoch` and `sent` are of the question that this answers."""
+        self.now = max(self.now, now)
+        if answer.name != self.name:
+            self.meet(answer.name, answer.incarnation, answer.seen)
+        self.highest = max(self.highest, answer.epoch)
+        if self.durable.blank:
+            self.learn(answer)
+            return
+        if not answer.granted or epoch != self.epoch or not epoch:
+            return
+        self.grants[answer.name] = max(sent, self.grants.get(answer.name, 0))
+        self.newest = max(self.newest, (answer.state_epoch, answer.state_number, answer.state))
+
+    def learn(self, answer: Answer) -> None:
+        """Blank: once all others have told what they keep, nothing that a majority kept is missing here."""
+        if answer.name == self.name:
+            return
+        self.told[answer.name] = answer
+        if len(self.told) < len(self.planners) - 1:
+            return
+        durable = self.durable
+        newest = max(self.told.values(), key=lambda one: (one.state_epoch, one.state_number))
+        if (newest.state_epoch, newest.state_number) > (durable.state_epoch, durable.state_number):
+            durable.state_epoch, durable.state_number = newest.state_epoch, newest.state_number
+            durable.state = newest.state
+        durable.promised = max(durable.promised, max(one.epoch for one in self.told.values()))
+        durable.blank = False
+        self.told.clear()
+        self.dirty = True
+
+    def lease_end(self) -> int:
+        """Its lease runs from the question that the last of a majority has granted, by the sender's clock."""
+        sent = sorted(self.grants.values(), reverse=True)
+        return sent[self.majority - 1] + int(LEASE * (1 - DRIFT)) if len(sent) >= self.majority else 0
+
+    def leads(self, now: int) -> bool:
+        """Whether it holds the lease at this moment; to be looked at just before each answer."""
+        self.now = max(self.now, now)
+        return 0 < self.epoch >= self.overtaken and self.now < self.lease_end()
+
+    def outrun(self, epoch: int) -> None:
+        """Somebody obeys a higher epoch: this one is over, and the next candidacy begins above it."""
+        self.highest = max(self.highest, epoch)
+        self.overtaken = max(self.overtaken, epoch)
+
+    def kept(self, answer: Kept, number: int) -> bool:
+        """Whether that number is kept by a majority now."""
+        self.highest = max(self.highest, answer.epoch)
+        if answer.kept:
+            self.kept_by.setdefault(number, set()).add(answer.name)
+        return len(self.kept_by.get(number, ())) >= self.majority
+
+    def has_kept(self, number: int) -> bool:
+        return len(self.kept_by.get(number, ())) >= self.majority
--- /dev/null
+++ b/birchslip/fleet/wire.py
@@ -0,0 +1,167 @@
+"""MessagePack-RPC among the fleet, on the program's own connections: a door that answers, a line that asks.
+
+A message is `[0, number, method, [value]]`, its answer `[1, number, error, [value, ...]]`. A value is bytes
+that hold a record; an answer longer than one value may hold goes as several.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from ..net.buffer import Buffer, Unreadable
+from ..net.clients import messages
+from ..net.connection import Connection, connect
+from ..net.messagepack import LONGEST, WIDEST, pack
+from ..net.scheduler import READ, Scheduler
+
+BOUND = WIDEST * LONGEST + 65_536  # bytes unread or unsent on a connection: the longest answer
+BACKLOG = 1024
+NO_ROOM = 1_000
+
+
+def pieces(raw: bytes) -> list[bytes]:
+    """As values of an answer; Unreadable where it is too long for one."""
+    parts = [raw[at : at + LONGEST] for at in range(0, len(raw), LONGEST)] or [b""]
+    if len(parts) > WIDEST:
+        raise Unreadable(f"{len(raw)} bytes in one answer")
+    return parts
+
+
+class Guest:
+    """One connection at a door; `about` is what the handlers know of who is there."""
+
+    def __init__(self, door: Door, connection: Connection) -> None:
+        self.door, self.connection = door, connection
+        self.about: Any = None
+
+    def take(self, buffer: Buffer) -> None:
+        read, trouble = messages(buffer)
+        for message in read:
+            match message:
+                case [0, int(number), str(method), [bytes(value)]]:
+                    self.connection.write(pack([1, number, *self.door.answer(self, method, value)]))
+                case _:
+                    raise Unreadable("a message of no known form")
+        if trouble:
+            raise Unreadable(trouble)
+
+
+class Door:
+    """Listens and answers. `serve` is told guest, method and value, and returns the answer or raises
+    ValueError or OSError, whose text the other side hears; `gone` is told of each guest that has left.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        most: int,
+        serve: Callable[[Guest, str, bytes], bytes],
+        gone: Callable[[Guest, str], None],
+    ) -> None:
+        self.scheduler, self.most, self.serve, self.gone = scheduler, most, serve, gone
+        self.guests: dict[Guest, None] = {}
+        self.listener: socket.socket
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        host, port = self.listener.getsockname()
+        return host, port
+
+    def accept(self) -> None:
+        """The task that lets guests in."""
+        while True:
+            self.scheduler.wait(self.listener.fileno(), READ)
+            while True:
+                try:
+                    sock, _ = self.listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as trouble:
+                    if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        self.scheduler.sleep(self.scheduler.now + NO_ROOM)
+                    break
+                if len(self.guests) >= self.most:
+                    sock.close()
+                    continue
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                guest = Guest(self, Connection(self.scheduler, sock, BOUND, BOUND))
+                self.guests[guest] = None
+                self.scheduler.spawn("guest", lambda guest=guest: self.keep(guest))  # type: ignore[misc]
+
+    def keep(self, guest: Guest) -> None:
+        why = "a fault"
+        try:
+            why = guest.connection.serve(guest.take)
+        finally:
+            guest.connection.close(why)
+            del self.guests[guest]
+            self.gone(guest, why)
+
+    def answer(self, guest: Guest, method: str, value: bytes) -> Iterator[Any]:
+        try:
+            return iter((None, pieces(self.serve(guest, method, value))))
+        except (ValueError, OSError) as trouble:
+            return iter((str(trouble)[:400], None))
+
+
+class Line:
+    """Asks at one door, one question at a time; opened as needed and kept."""
+
+    def __init__(self, scheduler: Scheduler, address: tuple[str, int]) -> None:
+        self.scheduler, self.address = scheduler, address
+        self.link: Connection | None = None
+        self.number = 0
+        self.heard: dict[int, tuple[Any, Any]] = {}
+
+    def ask(self, method: str, value: bytes, limit: int, params: list[Any] | None = None) -> bytes:
+        """The answer, waited for until `limit` of the scheduler's clock; OSError says why there is none."""
+        if self.link is None or not self.link.open:
+            self.link = Connection(self.scheduler, connect(self.scheduler, self.address), BOUND, BOUND)
+        link = self.link
+        self.number += 1
+        number = self.number
+        self.heard.clear()
+        link.write(pack([0, number, method, [value] if params is None else params]))
+        while number not in self.heard:
+            events = link.step(self.take, limit)
+            if not link.open:
+                raise OSError(link.why)
+            if number not in self.heard and (not events or self.scheduler.now >= limit):
+                link.close("no answer in time")
+                raise OSError("no answer in time")
+        error, result = self.heard.pop(number)
+        if error is not None:
+            raise Refused(str(error)[:400])
+        if not isinstance(result, list):
+            link.close("an answer of no known form")
+            raise OSError("an answer of no known form")
+        return b"".join(one for one in result if isinstance(one, bytes))
+
+    def take(self, buffer: Buffer) -> None:
+        read, trouble = messages(buffer)
+        for message in read:
+            match message:
+                case [1, int(number), error, result]:
+                    self.heard[number] = (error, result)
+                case [2, *_]:
+                    pass
+                case _:
+                    raise Unreadable("an answer of no known form")
+        if trouble:
+            raise Unreadable(trouble)
+
+    def close(self) -> None:
+        if self.link is not None:
+            self.link.close("dropped")
+            self.link = None
+
+
+class Refused(OSError):
+    """The other side has answered that it won't; the line is as good as before."""
--- /dev/null
+++ b/birchslip/lab/faults.py
@@ -0,0 +1,125 @@
+"""Named schedules of faults: what happens when, in tenths of a millisecond from the moment of the loss.
+
+`lost` is how long the first site is out. A schedule is made of the seed alone, so that one seed gives one
+play.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+SECOND = 10_000
+
+FAULTS = {
+    "none": "nothing fails",
+    "kill": "the whole site is killed at once and comes back cold",
+    "kill-surge": "the same in the middle of a surge from one account",
+    "kill-slow-second": "a second site slows during the first one's loss",
+    "kill-two": "two sites are killed: what is left does not have the room",
+    "pause": "the site is paused for the time, not dead, and wakes with old plans and leases",
+    "cut": "the site is cut off from the planners and still serves its routers",
+    "cut-one-way": "the site's reports reach the planners, and no word of theirs comes back",
+    "cut-heals": "the site is paused and cut off, and wakes and is heard again while it is being evacuated",
+    "leader-killed": "the leading planner is killed between deciding and telling",
+    "leader-paused": "the leading planner is paused when the site is lost and wakes as if nothing had been",
+    "planners-gone": "all planners are killed during the loss and started again before its end",
+    "planner-empty": "a planner is killed and comes back with an empty disk while the site is out",
+    "planner-cut-short": "a planner is killed and comes back with a file that is cut short",
+    "planner-old": "a planner is killed and comes back with a disk of an earlier hour",
+    "planners-split": "the leading planner is cut off from the two others while the site is out",
+    "rush": "the site returns cold and no router heeds any advice",
+    "dies-again": "the site dies again at its second step",
+    "flaps": "the site dies and returns five times",
+    "late-links": "all that members and planners say to each other comes 120 ms late",
+    "shaken-links": "links between members and planners break again and again",
+    "half-open": "links of the lost site's members stay half open, and planners are never told of an end",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """`what` is done to `whom` at a time; `more` is its figure, where it has one."""
+
+    at: int
+    what: str
+    whom: str = ""
+    more: float = 0.0
+
+
+def schedule(fault: str, seed: int, sites: list[str], planners: list[str], lost: int) -> list[Step]:
+    """The steps in order of time. The names `leader` and `other` are of planners, as they stand at that
+    moment.
+    """
+    chance = random.Random(seed)
+    a, b = sites[0], sites[1]
+    jitter = int(chance.random() * 2_000)
+
+    def out(site: str, at: int, until: int, how: str = "kill") -> list[Step]:
+        back = {"kill": "start", "pause": "resume"}[how]
+        return [Step(at, how, site), Step(until, back, site)]
+
+    steps = {
+        "none": [],
+        "kill": out(a, 0, lost),
+        "kill-surge": [
+            Step(-10_000, "surge", "blue", 2.5),
+            *out(a, 0, lost),
+            Step(25_000, "surge", "blue", 1.0),
+        ],
+        "kill-slow-second": [
+            *out(a, 0, lost),
+            Step(8_000, "slow", b, 1.8),
+            Step(lost * 2 // 3, "slow", b, 1.0),
+        ],
+        "kill-two": [*out(a, 0, lost), *out(b, jitter, lost)],
+        "pause": out(a, 0, lost, "pause"),
+        "cut": [Step(0, "cut", a), Step(lost, "heal", a)],
+        "cut-one-way": [Step(0, "deaf", a), Step(lost, "heal", a)],
+        "cut-heals": [
+            *out(a, 0, 12_000 + jitter, "pause"),
+            Step(0, "silent", a),
+            Step(12_000 + jitter, "heal", a),
+        ],
+        "leader-killed": [
+            *out(a, 0, lost),
+            Step(2_000 + jitter, "kill-planner", "leader"),
+            Step(lost, "start-planner", "last"),
+        ],
+        "leader-paused": [
+            *out(a, 0, lost),
+            Step(1_000, "pause-planner", "leader"),
+            Step(lost * 2 // 3, "resume-planner", "last"),
+        ],
+        "planners-gone": [
+            *out(a, 0, lost),
+            Step(10_000, "kill-planner", "all"),
+            Step(lost * 2 // 3, "start-planner", "all"),
+        ],
+        "planner-empty": planner_with(a, lost, "empty"),
+        "planner-cut-short": planner_with(a, lost, "cut-short"),
+        "planner-old": [Step(-30_000, "save-disk", "follower"), *planner_with(a, lost, "old")],
+        "planners-split": [*out(a, 0, lost), Step(-1_000, "split", "leader"), Step(lost, "heal-planners")],
+        "rush": [*out(a, 0, lost), Step(lost - 1_000, "heed", "", 0.0)],
+        "dies-again": [
+            *out(a, 0, lost),
+            Step(0, "on-step", a, 2),
+        ],
+        "flaps": [step for n in range(5) for step in out(a, n * 25_000, n * 25_000 + 12_000)],
+        "late-links": [Step(-20_000, "late", "", 1_200), *out(a, 0, lost)],
+        "shaken-links": [*out(a, 0, lost), *(Step(at, "shake") for at in range(-20_000, lost, 7_000))],
+        "half-open": [Step(0, "silent", a), *out(a, 0, lost, "pause"), Step(lost, "heal", a)],
+    }[fault]
+    return sorted(steps, key=lambda step: step.at)
+
+
+def planner_with(site: str, lost: int, disk: str) -> list[Step]:
+    return [
+        Step(-20_000, "kill-planner", "follower"),
+        Step(-19_000, f"disk-{disk}", "last"),
+        Step(-18_000, "start-planner", "last"),
+        Step(0, "kill", site),
+        Step(5_000, "kill-planner", "other"),
+        Step(lost, "start-planner", "last"),
+        Step(lost, "start", site),
+    ]
--- /dev/null
+++ b/birchslip/lab/peers.py
@@ -0,0 +1,309 @@
+"""Stand-ins for what stands around app servers, on the program's own scheduler: agents, vault and catalog.
+
+They speak the published protocols as far as an app server sees them. An agent models cores: a run takes its
+work, longer while more run than there are cores, and longer while it is cold. The vault counts the calls in
+hand.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from base64 import b64decode, b64encode
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from ..net.buffer import Buffer, Unreadable
+from ..net.connection import Connection
+from ..net.scheduler import READ, Scheduler
+from .truth import Truth
+from .wires import listener
+
+LINE = 65_536
+BOUND = 4 << 20
+KEPT = 4_000
+LISTED = 30_000  # a report stands for three seconds
+
+
+class Peer:
+    """Listens on loopback and serves each connection in a task of its own."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.scheduler = scheduler
+        self.listener = listener()
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.links: dict[Connection, None] = {}
+        scheduler.spawn(type(self).__name__, self.accept)
+
+    def accept(self) -> None:
+        while True:
+            self.scheduler.wait(self.listener.fileno(), READ)
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            link = Connection(self.scheduler, sock, BOUND, BOUND)
+            self.links[link] = None
+            self.scheduler.spawn("link", partial(self.keep, link))
+
+    def keep(self, link: Connection) -> None:
+        take = self.begin(link)
+        try:
+            link.serve(take)
+        finally:
+            link.close("ended")
+            self.links.pop(link, None)
+            self.gone(link)
+
+    def begin(self, link: Connection) -> Callable[[Buffer], None]:
+        raise NotImplementedError
+
+    def gone(self, link: Connection) -> None:
+        """Its connection has ended."""
+
+    def drop(self) -> None:
+        for link in list(self.links):
+            link.close("dropped")
+
+
+class Run:
+    """One run on the cores. A body's words: the work in milliseconds, `call`, and the label."""
+
+    def __init__(self, name: str, body: bytes) -> None:
+        words = body.decode("ascii", "replace").split()
+        self.name, self.body = name, body
+        self.work = next((int(word) for word in words if word.isdigit()), 10) * 10
+        self.calls = "call" in words
+        self.label = next((word[1:] for word in words if word.startswith("L")), "")
+        self.reply = b""
+        self.on_core = False
+
+
+class Agent(Peer):
+    """One agent and its cores. `written` tells when a try of that name was written to its app server."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        truth: Truth,
+        server: str,
+        cores: int,
+        cold_from: float,
+        cold_span: int,
+        written: Callable[[str], int],
+    ) -> None:
+        self.truth, self.server, self.cores, self.written = truth, server, cores, written
+        self.cold_from, self.cold_span = cold_from, cold_span
+        self.slow = 1.0
+        self.life = 0
+        self.paused = False
+        self.held: deque[Callable[[], None]] = deque()
+        super().__init__(scheduler)
+        self.start(cold=False)
+
+    def start(self, cold: bool) -> None:
+        """Begun anew, from nothing."""
+        self.life += 1
+        self.cold, self.began = cold, self.scheduler.now
+        self.notices: list[dict[str, Any]] = []
+        self.runs: dict[str, Run] = {}
+        self.over: set[str] = set()
+        self.out: Connection | None = None
+        self.paused = False
+        self.held.clear()
+        self.drop()
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+        while self.held:
+            self.held.popleft()()
+
+    def speed(self) -> float:
+        if not self.cold:
+            return 1.0 / self.slow
+        grown = min(1.0, (self.scheduler.now - self.began) / self.cold_span)
+        return (self.cold_from + (1 - self.cold_from) * grown) / self.slow
+
+    # ---- orders ----------------------------------------------------------------------------------------
+
+    def begin(self, link: Connection) -> Callable[[Buffer], None]:
+        def take(buffer: Buffer) -> None:
+            while (line := buffer.line(LINE)) is not None:
+                order = json.loads(line)
+                self.when_awake(partial(self.obey, link, order))
+
+        return take
+
+    def when_awake(self, act: Callable[[], None]) -> None:
+        """Nothing happens while it is paused, and nothing of an earlier life happens at all."""
+        life = self.life
+
+        def guarded() -> None:
+            if life != self.life:
+                return
+            if self.paused:
+                self.held.append(guarded)
+            else:
+                act()
+
+        guarded()
+
+    def obey(self, link: Connection, order: dict[str, Any]) -> None:
+        name = order.get("id", "")
+        run = self.runs.get(name)
+        match order["op"]:
+            case "subscribe":
+                self.out = link
+                age = (self.scheduler.now - self.began) // 10
+                self.tell(op="greeting", end="fresh" if self.cold else "seasoned", ms=age)
+                for notice in self.notices[order["seq"] :]:
+                    self.tell(**notice)
+            case "launch" if run is None and name not in self.over:
+                run = self.runs[name] = Run(name, b64decode(order["body"]))
+                self.truth.launched(self.server, self.life, run.label, self.written(name), self.scheduler.now)
+                self.work(run, run.work // 2 if run.calls else run.work, self.call if run.calls else self.end)
+            case "launch":
+                pass
+            case "freeze" if run is not None:
+                self.end(run, "aborted")
+            case "deliver" if run is not None:
+                run.reply = b64decode(order["body"])
+                self.work(run, run.work // 2, self.end)
+            case "forgo" if run is not None:
+                self.work(run, run.work // 2, self.end)
+            case "sample":
+                used = min(1.0, self.on_cores() / self.cores)
+                self.tell(op="sampled", tag=order["tag"], values=[used, len(self.runs), 0.1, 1])
+            case kind:
+                self.tell(op="refusal", end=kind, id=name)
+
+    def on_cores(self) -> int:
+        return sum(1 for run in self.runs.values() if run.on_core)
+
+    def work(self, run: Run, span: int, then: Callable[[Run], None]) -> None:
+        run.on_core = True
+        crowd = max(1.0, self.on_cores() / self.cores)
+        took = int(span * crowd / self.speed())
+        self.scheduler.at(self.scheduler.now + took, lambda: self.when_awake(partial(self.rest, run, then)))
+
+    def rest(self, run: Run, then: Callable[[Run], None]) -> None:
+        if self.runs.get(run.name) is run:
+            run.on_core = False
+            then(run)
+
+    def call(self, run: Run) -> None:
+        self.note(op="request", id=run.name, body=b64encode(b"asked by " + run.name.encode()).decode())
+
+    def end(self, run: Run, how: str = "done") -> None:
+        if self.runs.pop(run.name, None) is run:
+            self.over.add(run.name)
+            result = b64encode(b"made of " + run.body + run.reply).decode()
+            self.note(op="outcome", id=run.name, end=how, ms=run.work // 10, body=result)
+
+    def note(self, **notice: Any) -> None:
+        notice["seq"] = len(self.notices) + 1
+        self.notices.append(notice)
+        self.tell(**notice)
+
+    def tell(self, **line: Any) -> None:
+        if self.out is not None and self.out.open:
+            self.out.write(json.dumps(line, separators=(",", ":")).encode() + b"\n")
+
+
+class Vault(Peer):
+    """Answers a call after `took`; each call counts from its message to its answer or the end of its link."""
+
+    def __init__(self, scheduler: Scheduler, truth: Truth, took: Callable[[], int]) -> None:
+        self.truth, self.took = truth, took
+        self.hands: dict[Connection, dict[bytes, None]] = {}
+        super().__init__(scheduler)
+
+    def begin(self, link: Connection) -> Callable[[Buffer], None]:
+        self.hands[link] = {}
+        head: list[list[bytes]] = []
+
+        def take(buffer: Buffer) -> None:
+            while True:
+                if head:
+                    size = int(head[0][3]) + 2
+                    if len(buffer) < size:
+                        return
+                    buffer.skip(size)
+                    self.ask(link, head.pop()[1])
+                line = buffer.line(LINE)
+                if line is None:
+                    return
+                words = line.split()
+                if words[:1] == [b"ask"] and len(words) == 4:
+                    head.append(words)
+                elif words[:1] == [b"unask"] and len(words) == 2:
+                    self.over(link, words[1])
+                else:
+                    raise Unreadable("no message of a caller's")
+
+        return take
+
+    def ask(self, link: Connection, name: bytes) -> None:
+        self.over(link, name)
+        self.hands[link][name] = None
+        self.truth.call("all", 1)
+        self.scheduler.at(self.scheduler.now + self.took(), lambda: self.answer(link, name))
+
+    def answer(self, link: Connection, name: bytes) -> None:
+        if self.over(link, name):
+            link.write(name + b" yes 9\r\n and paid\r\n")
+
+    def over(self, link: Connection, name: bytes) -> bool:
+        if name in self.hands.get(link, {}):
+            del self.hands[link][name]
+            self.truth.call("all", -1)
+            return True
+        return False
+
+    def gone(self, link: Connection) -> None:
+        for name in list(self.hands.get(link, {})):
+            self.over(link, name)
+        self.hands.pop(link, None)
+
+
+class Catalog(Peer):
+    """Keeps the list of app servers whose last good report is not older than three seconds."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.reports: dict[str, tuple[int, bool]] = {}
+        super().__init__(scheduler)
+
+    def begin(self, link: Connection) -> Callable[[Buffer], None]:
+        head: list[bytes] = []
+
+        def take(buffer: Buffer) -> None:
+            while True:
+                if not head or head[-1]:
+                    line = buffer.line(LINE)
+                    if line is None:
+                        return
+                    head.append(line)
+                    continue
+                size = next(
+                    (int(one.split(b":")[1]) for one in head if one.lower().startswith(b"content-length")), 0
+                )
+                if len(buffer) < size:
+                    return
+                status = json.loads(buffer.take(size))["status"]
+                name = head[0].split()[1].rpartition(b"/")[2].decode()
+                self.reports[name] = (self.scheduler.now, status == "passing")
+                head.clear()
+                link.write(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n")
+
+        return take
+
+    def listed(self) -> set[str]:
+        now = self.scheduler.now
+        return {name for name, (at, good) in self.reports.items() if good and now - at <= LISTED}
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -21,8 +21,8 @@
 
 
 class Counters:
-    def __init__(self) -> None:
-        self.counts: Counter[str] = Counter(dict.fromkeys(STORY, 0))
+    def __init__(self, story: list[str] = STORY) -> None:
+        self.counts: Counter[str] = Counter(dict.fromkeys(story, 0))
         self.peaks: dict[str, int] = {}
 
     def count(self, name: str, more: int = 1) -> None:
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 from dataclasses import asdict, replace
 from enum import Enum
+from typing import Any, Protocol
 
 from ..deployment import Malformed
+from ..driver import Driver
 from ..interface import Gauges, Health, Idle, Notice, Tick
 from ..interface import Log as Remark
 from .bounds import bounds
@@ -57,6 +59,18 @@
 }
 
 
+class Companion(Protocol):
+    """What stands beside one app server for its fleet; without one nothing here is any different."""
+
+    driver: Driver | None
+    standing: Any
+
+    def start(self) -> None: ...
+    def seen(self, passage: Passage) -> None: ...
+    def check(self) -> None: ...
+    def may_be_listed(self) -> bool: ...
+
+
 def memory(what: str = "VmRSS") -> int:
     """Resident memory in KB, or its peak (`VmHWM`); the usage record would count the parent too."""
     with open("/proc/self/status", encoding="ascii") as status:
@@ -101,6 +115,18 @@
         self.vault.ended = guarded(self.relay.ended)
         self.relay.guarded_overdue = guarded(self.relay.overdue)
         self.signals, self.wakeup = socket.socketpair()
+        self.companion: Companion | None = None
+
+    def accompany(self, companion: Companion) -> None:
+        """Before `run`: the fleet's side of it."""
+        self.companion = companion
+        taken = self.take_in.admit
+
+        def seen(passage: Passage) -> None:
+            companion.seen(passage)
+            taken(passage)
+
+        self.take_in.admit = seen
 
     # ---- phases --------------------------------------------------------------------------------------------
 
@@ -109,6 +135,9 @@
             raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
         self.log.info("phase", left=self.phase.value, now=phase.value)
         self.phase = phase
+        if self.companion is not None:
+            self.companion.standing.serving = phase is Phase.SERVING
+            self.companion.standing.leaving = phase not in (Phase.STARTING, Phase.SERVING)
 
     def run(self) -> None:
         self.hear_signals()
@@ -119,6 +148,9 @@
         self.keep("agent", self.agent.keep_link)
         self.keep("catalog", self.catalog.keep_reporting)
         self.keep("listener", self.clients.accept)
+        if self.companion is not None:
+            self.companion.standing.door = f"{host}:{port}"
+            self.companion.start()
         try:
             self.scheduler.run()
         finally:
@@ -148,6 +180,8 @@
         if self.phase is Phase.STARTING:
             self.move(Phase.SERVING)
             self.admit.begin(replace(self.site.deployment, cold=cold), began if cold else self.scheduler.now)
+            if self.companion is not None:
+                self.companion.driver = self.admit.driver
 
     def leave(self) -> None:
         """The notice to leave; a second one ends the program at once."""
@@ -194,6 +228,8 @@
 
     def settle(self) -> None:
         """Once a pass."""
+        if self.companion is not None:
+            self.companion.check()
         self.admit.settle()
         if self.phase in (Phase.DRAINING, Phase.SHUT) and not self.clients.all and not self.admit.news:
             self.close()
@@ -275,6 +311,8 @@
         self.admit.tick(Gauges(self.agent.cores_used()))
 
     def passing(self) -> bool:
+        if self.companion is not None and not self.companion.may_be_listed():
+            return False
         return self.clients.good and self.phase in (Phase.STARTING, Phase.SERVING)
 
     def in_use(self, name: str) -> bool:
