Let a site come back faster, and end a plan in a word once every site is at home

At fault: a first wait and steps that began at a quarter of the cores (a cold site is slow by itself, and its crowd is bounded already), steps that moved on before a router had leant on them, and the plan of the last step fading for nine seconds after the site was home. Now the first return waits for nothing but half of the members, steps begin at half, one counts as carried once it has been leant on, and a leader with all sites at home tells a plan that changes nothing.

--- a/birchslip/fleet/comeback.py
+++ b/birchslip/fleet/comeback.py
@@ -14,15 +14,17 @@
 
 from .records import Report
 
-STEPS = (0.25, 0.5, 0.75, 1.0)  # of the cores of each member
-SHOWN = 3  # good looks in a row before the next step
+STEPS = (0.5, 0.75, 1.0)  # of the cores of each member
+SHOWN = 2  # good looks in a row before the next step
 HURT = 2  # bad ones in a row before a step is taken back
 PACE_GOOD, PACE_BAD = 1.6, 2.5  # against the usual
 SHED_BAD = (
     0.5  # of what was asked at a step; routers ask for all of it from the first, so it is no small part
 )
-DWELL = 4_000  # a step is held for at least 400 ms: less shows nothing
-WAIT_FIRST, WAIT_MOST = 5_000, 600_000  # half a second before the first step, a minute at most
+LEANT = 0.4  # of what a step could do, asked for, before it counts as carried
+IDLE = 8  # times a step's hold after which it goes on all the same: there is no load to carry
+DWELL = 4_000  # a step is held for at least 400 ms: two reports and what they show
+WAIT_FIRST, WAIT_MOST = 5_000, 600_000  # one that flaps waits half a second at first, a minute at most
 FORGIVEN = 6_000_000  # ten minutes at home, and earlier losses count no more
 
 
@@ -70,10 +72,13 @@
         self.good = self.bad = 0
 
     def wait(self) -> int:
-        return min(WAIT_MOST, WAIT_FIRST << min(16, max(0, self.flaps - 1)))
+        return 0 if self.flaps < 2 else min(WAIT_MOST, WAIT_FIRST << min(16, self.flaps - 2))
 
-    def look(self, shown: list[Report], expected: int, now: int) -> str:
-        """One look at what the site's members have reported; a word on what was changed, or none."""
+    def look(self, shown: list[Report], expected: int, usual: float, now: int) -> str:
+        """One look at what the site's members have reported; a word on what was changed, or none.
+
+        `expected` is how many there should be, `usual` the site's own load, in transactions a second.
+        """
         if self.stage is Stage.HOME:
             return ""
         if self.stage is Stage.LOST:
@@ -87,9 +92,9 @@
             self.step, self.hold = 0, DWELL
             self.enter(Stage.STEP, now, f"waited {self.wait() // 10} ms, flap {self.flaps}")
             return self.why
-        return self.judge_step(shown, now)
+        return self.judge_step(shown, usual, now)
 
-    def judge_step(self, shown: list[Report], now: int) -> str:
+    def judge_step(self, shown: list[Report], usual: float, now: int) -> str:
         pace = max((one.pace for one in shown), default=0.0)
         asked = sum(one.honoured + one.shed for one in shown)
         refused = sum(one.shed for one in shown) / asked if asked else 0.0
@@ -102,8 +107,12 @@
             self.hold = min(WAIT_MOST, 2 * self.hold)
             self.enter(Stage.STEP, now, f"the step hurt: pace {pace:.1f}, back to {self.level:.2f}")
             return self.why
+        # A step that nobody has leant on yet has shown nothing: routers learn late who is listed.
+        leant = asked >= LEANT * min(usual, self.level * sum(one.room for one in shown))
         if self.good < SHOWN or now - self.since < self.hold:
             return ""
+        if not leant and now - self.since < IDLE * self.hold:
+            return ""
         if self.step + 1 < len(STEPS) - 1 or (self.step + 1 < len(STEPS) and all(one.warm for one in shown)):
             self.step += 1
             self.enter(Stage.STEP, now, f"carried the step: pace {pace:.1f}, shed {refused:.2f}")
--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -225,7 +225,8 @@
                 changed = True
             elif comeback.stage is not Stage.HOME:
                 shown = [one.report for one in self.membership.alive(site, now)]
-                word = comeback.look(shown, len(self.members_of(site)), now)
+                usual = sum(self.usual[site].values())
+                word = comeback.look(shown, len(self.members_of(site)), usual, now)
                 if word:
                     self.remark(
                         "site moves", site=site, stage=comeback.stage.value, level=comeback.level, why=word
@@ -281,26 +282,26 @@
             self.kept_number, self.told = number, self.made
             self.told_levels = {name: one.level for name, one in self.comebacks.items()}
 
-    def tell(self, name: str) -> Tell | None:
-        """The plan as this member is told it; none while every site is at home."""
+    def tell(self, name: str) -> Tell:
+        """The plan as this member is told it.
+
+        With every site at home it is one that changes nothing: what was in force is over, and need not run out.
+        """
         levels = self.told_levels
-        if all(level == 1 for level in levels.values()):
-            return None
         level = levels[self.home[name]]
         away = [site for site, part in levels.items() if part < 1]
         visitors = [router for site in self.fleet.sites if site.name in away for router in site.routers]
-        home = self.home[name] in away
         return Tell(
             epoch=self.reign,
             plan=self.kept_number,
             span=span(self.fleet.plan_ms),
             fade=span(self.fleet.fade_ms),
-            quotas=self.told.quotas.get(name, {}),
-            visitors=[] if home else visitors,
-            order=list(self.fleet.refuse),
+            quotas=self.told.quotas.get(name, {}) if away else {},
+            visitors=visitors if level == 1 else [],
+            order=list(self.fleet.refuse) if away else [],
             level=level,
             listed=level > 0,
-            short=self.told.short,
+            short=self.told.short and bool(away),
         )
 
     def members_of(self, site: str) -> list[str]:
--- a/birchslip/lab/clients.py
+++ b/birchslip/lab/clients.py
@@ -94,6 +94,7 @@
         self.scheduler, self.truth, self.number, self.site = scheduler, truth, number, site
         self.servers, self.profiles, self.tenants, self.written = servers, profiles, tenants, written
         self.chance = random.Random(seed)
+        self.asked = random.Random(seed + 1)  # arrivals are the same whatever becomes of them
         self.heed = 0.8
         self.links: dict[Server, list[Link]] = {server: [] for server in servers}
         self.away: dict[Server, int] = {}
@@ -109,7 +110,8 @@
 
     def start(self, catalog: Callable[[], set[str]]) -> None:
         self.learn(catalog)
-        self.scheduler.at(self.scheduler.now, self.arrive)
+        self.next_arrival = self.scheduler.now
+        self.scheduler.at(self.next_arrival, self.arrive)
         for server in self.servers:
             self.scheduler.spawn("pings", partial(self.keep_pinging, server))
 
@@ -125,14 +127,16 @@
             return
         weights = {name: share * self.surge.get(name, 1.0) for name, share in self.tenants.items()}
         rate = self.rate * sum(weights.values())
-        gap = self.chance.expovariate(max(0.1, rate)) * SECOND
-        self.scheduler.at(self.scheduler.now + int(gap), self.arrive)
+        gap = self.asked.expovariate(max(0.1, rate)) * SECOND
+        self.next_arrival += int(gap)
+        self.scheduler.at(self.next_arrival, self.arrive)
         if rate <= 0:
             return
-        tenant = self.chance.choices(list(weights), list(weights.values()))[0]
-        profile = self.chance.choices(self.profiles, [one.share for one in self.profiles])[0]
+        tenant = self.asked.choices(list(weights), list(weights.values()))[0]
+        profile = self.asked.choices(self.profiles, [one.share for one in self.profiles])[0]
+        work = max(5, int(self.asked.gammavariate(4, profile.work / 4) / 10))
         self.serial += 1
-        label = self.chance.randbytes(16).hex() if profile.label else ""
+        label = self.asked.randbytes(16).hex() if profile.label else ""
         deed = Deed(
             self.serial,
             profile.name,
@@ -141,10 +145,10 @@
             profile.payoff,
             profile.goal,
             self.scheduler.now,
+            work * 10,
             label,
         )
         self.truth.deeds.append(deed)
-        work = max(5, int(self.chance.gammavariate(4, profile.work / 4) / 10))
         call = f" call L{label}" if profile.label else ""
         self.send(deed, profile, f"{work}{call}".encode(), None)
 
--- a/birchslip/lab/site_loss.py
+++ b/birchslip/lab/site_loss.py
@@ -443,7 +443,7 @@
         was.
         """
         done, asked = 0.0, 0.0
-        step = SECOND // 4
+        step = SECOND // 2  # a wait of half a second is still in time
         deeds = sorted(self.truth.of(span), key=lambda deed: deed.born)
         place = 0
         for at in range(span[0], span[1], step):
@@ -451,14 +451,13 @@
             for server in self.servers:
                 if any(since <= at < until for since, until in self.truth.dark.get(server.site, ())):
                     continue
-                room += CORES * step / WORK * self.speed_then(server.site, at)
-            count = 0.0
+                room += CORES * step * self.speed_then(server.site, at) / self.agents[server.name].slow
+            work = 0.0
             while place < len(deeds) and deeds[place].born < at + step:
-                count += deeds[place].payoff
+                work += deeds[place].work
                 place += 1
-            each = sum(one.share * one.payoff for one in PROFILES)
-            asked += count
-            done += min(count, room * each)
+            asked += work
+            done += min(work, room)
         return done / asked if asked else 1.0
 
     def speed_then(self, site: str, at: int) -> float:
@@ -496,9 +495,19 @@
             "trouble": self.faults[:5],
             "transactions": len(truth.deeds),
             "calls_most": truth.calls_most,
+            "series": self.series(),
         }
         return told
 
+    def series(self) -> list[list[float]]:
+        """Second by second from the loss: service, ideal and attempts for each transaction."""
+        zero, made = self.spans["before"][1], []
+        for at in range(0, self.until, SECOND):
+            span = (self.began + at, self.began + at + SECOND)
+            row = (self.truth.service(span), self.ideal(span), self.truth.attempts(span))
+            made.append([(at - zero) / SECOND, *(round(one, 3) for one in row)])
+        return made
+
     def of_the_fleet(self) -> dict[str, Any]:
         """What the processes' own logs tell of plans: when, not whether, anything was right."""
         zero = self.losses[0] if self.losses else self.began + self.spans["before"][1]
@@ -532,7 +541,8 @@
 
 
 def play_once(told: Told, folder: Path) -> dict[str, Any]:
-    folder.mkdir(parents=True, exist_ok=True)
+    shutil.rmtree(folder, ignore_errors=True)  # logs and disks of an earlier play are none of this one's
+    folder.mkdir(parents=True)
     play = Play(told, folder)
     try:
         play.run()
--- a/birchslip/lab/truth.py
+++ b/birchslip/lab/truth.py
@@ -37,6 +37,7 @@
     payoff: float
     goal: int
     born: int
+    work: int  # on a core, tenths of a millisecond
     label: str = ""
     tries: list[Try] = field(default_factory=list)
     honoured_at: int = 0
--- a/birchslip/lab/wires.py
+++ b/birchslip/lab/wires.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -21,6 +22,9 @@
 from ..net.scheduler import READ, Scheduler
 
 BOUND = 4 << 20
+PORTS = (10_000, 32_000)
+CHANCE = random.Random()  # several plays may run at a time: each draws its own ports
+given: set[int] = set()
 MODES = ("pass", "cut", "silent", "deaf", "mute", "late")
 
 
@@ -33,11 +37,23 @@
 
 
 def free_port() -> int:
-    """One that nobody listens on just now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
+    """One that nobody listens on, below those that the system gives to links, and not given here before.
+
+    A process that is started again comes back at its port: one of the system's own range may be some link's
+    by then.
+    """
+    for _ in range(2_000):
+        port = CHANCE.randrange(*PORTS)
+        if port in given:
+            continue
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given.add(port)
         return port
+    raise OSError("no free port")
 
 
 class Wire:
