--- a/birchslip/fleet/fleetfile.py
+++ b/birchslip/fleet/fleetfile.py
@@ -25,10 +25,13 @@
     """A part of the file: a key that is not known is a mistake, never passed over."""
 
 
+Word = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+
+
 class Planner(Piece):
     """One planner: where members, other planners and operators find it."""
 
-    name: Name
+    name: Word
     address: Address
 
 
--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -285,7 +285,7 @@
     def tell(self, name: str) -> Tell:
         """The plan as this member is told it.
 
-        With every site at home it is one that changes nothing: what was in force is over, and need not run out.
+        With every site at home it changes nothing: what was in force is over, and need not run out.
         """
         levels = self.told_levels
         level = levels[self.home[name]]
--- a/birchslip/fleet/records.py
+++ b/birchslip/fleet/records.py
@@ -32,6 +32,16 @@
     mark: Count = 0
 
 
+class Seen(Record):
+    """The most that one planner has shown another: its last life, and what it said that its disk holds."""
+
+    life: Count
+    mark: Count
+    promised: Epoch = 0
+    epoch: Epoch = 0
+    number: Count = 0
+
+
 class Knock(Record):
     """What a witness met at a door: `answered`, `refused` or `silent`."""
 
@@ -101,7 +111,7 @@
     epoch: Epoch
     name: Name
     incarnation: Incarnation
-    seen: dict[Name, Incarnation] = {}  # the last life seen of each planner, which unmasks an old disk
+    seen: dict[Name, Seen] = {}  # what was seen of each planner, which unmasks an old disk
     doubt: list[Name] = []  # members that the leader does not hear
 
 
@@ -116,7 +126,7 @@
     state_number: Count = 0
     state: bytes = b""
     heard: list[Name] = []  # of the members in doubt, those heard here
-    seen: dict[Name, Incarnation] = {}
+    seen: dict[Name, Seen] = {}
 
 
 class Keep(Record):
--- a/birchslip/fleet/vote.py
+++ b/birchslip/fleet/vote.py
@@ -10,7 +10,7 @@
   obey know the highest that they have heard, and refuse what is older.
 - *What was kept by a majority is not forgotten.* Whoever leads takes the newest state that its voters keep.
   One with an empty or old disk does not vote until it has heard all the others or the leader has told it
-  again; an old disk shows by a life that the others have seen go by.
+  again; an old disk shows by a life that the others have seen go by, which it asks for at its start.
 
 `asked` and `keep` change what must survive: the caller flushes `durable` before it answers.
 """
@@ -20,12 +20,16 @@
 import random
 from dataclasses import dataclass, field
 
-from .records import Answer, Ask, Incarnation, Keep, Kept
+import msgspec
+
+from .records import Answer, Ask, Incarnation, Keep, Kept, Seen
 
 LEASE = 10_000  # a second
 DRIFT = 0.02
 RENEW = 2_500  # four questions in a lease: three may be lost
+SURE_LEASES = 3  # that one which has just started waits for others that do not answer, before it votes
 JITTER = 2_500  # candidates try at different times, or they would split the votes for ever
+KEPT_NUMBERS = 8  # whose keepers are still counted
 WIDTH = 64  # planners: an epoch's rest by it names the planner that may use it
 
 
@@ -41,6 +45,7 @@
     state_number: int = 0
     state: bytes = b""
     blank: bool = True
+    seen: str = ""  # of the others, as JSON
 
 
 @dataclass(slots=True)
@@ -54,7 +59,7 @@
     now: int
     chance: random.Random
     dirty: bool = True
-    seen: dict[str, Incarnation] = field(default_factory=dict)
+    seen: dict[str, Seen] = field(default_factory=dict)
     told: dict[str, Answer] = field(default_factory=dict)  # by all others, since this one is blank
     granted_to: tuple[str, int] = ("", 0)
     granted_until: int = 0
@@ -62,20 +67,41 @@
     epoch: int = 0  # of its own candidacy or leadership
     grants: dict[str, int] = field(default_factory=dict)  # voter: when the question was sent
     highest: int = 0  # epoch heard of, from whomever: the next candidacy begins above it
+    won: bool = False
     overtaken: int = 0  # the highest that is known to be obeyed
     next_ask: int = 0
     newest: tuple[int, int, bytes] = (0, 0, b"")
     kept_by: dict[int, set[str]] = field(default_factory=dict)  # number: planners that keep it
-    fenced: bool = True  # off only in the tests that show what it is for
+    unsure: set[str] = field(
+        default_factory=set
+    )  # others that have not shown yet which of my lives they know
+    sure_from: int = 0
+    forgone: tuple[int, int] = (
+        0,
+        0,
+    )  # what it is known to have lost: that is found once, not again and again
 
     def __post_init__(self) -> None:
         self.durable.life += 1
-        self.quiet_until = self.now + int(LEASE * (1 + DRIFT))
+        if self.durable.seen:
+            self.seen = msgspec.json.decode(self.durable.seen, type=dict[str, Seen])
+        self.quiet_until = self.now + self.quiet
         self.next_ask = self.now + self.chance.randrange(JITTER)
         self.highest = self.durable.promised
+        self.unsure = {name for name in self.planners if name != self.name}
+        self.sure_from = self.now + SURE_LEASES * self.quiet
         if len(self.planners) == 1:
             self.durable.blank = False
 
+    @property
+    def quiet(self) -> int:
+        """After so long here, a lease that was granted just before has ended wherever it is counted."""
+        return int(LEASE * (1 + DRIFT))
+
+    def sure(self) -> bool:
+        """Whether the others have had the time to say that this disk is older than what they have seen."""
+        return not self.unsure or self.now >= self.sure_from
+
     @property
     def incarnation(self) -> Incarnation:
         return Incarnation(life=self.durable.life, mark=self.mark)
@@ -86,29 +112,64 @@
 
     # ---- as a voter ------------------------------------------------------------------------------------
 
-    def meet(self, name: str, incarnation: Incarnation, seen: dict[str, Incarnation]) -> None:
-        """What another planner shows: which life it is in, and which of mine it has seen."""
+    def meet(self, name: str, shown: Seen, seen: dict[str, Seen]) -> None:
+        """What another planner shows of itself, and what it has seen of me."""
+        self.unsure.discard(name)
         known = self.seen.get(name)
-        if known is None or incarnation.life >= known.life:
-            self.seen[name] = incarnation
+        if known is None or (known.mark != shown.mark and shown.life >= known.life):
+            # A new life: on the disk, as a third planner may have to tell it one day that its disk is old.
+            self.seen[name] = known = Seen(
+                life=shown.life,
+                mark=shown.mark,
+                promised=known.promised if known is not None else 0,
+                epoch=known.epoch if known is not None else 0,
+                number=known.number if known is not None else 0,
+            )
+            self.durable.seen = msgspec.json.encode(self.seen).decode()
+            self.dirty = True
+        known.promised = max(known.promised, shown.promised)
+        known.epoch, known.number = max((known.epoch, known.number), (shown.epoch, shown.number))
         mine = seen.get(self.name)
-        if mine is not None and mine.mark != self.mark and mine.life >= self.durable.life:
-            # My disk is older than I was: what I promised since is not on it.
-            self.durable.life = mine.life + 1
+        if mine is not None and self.older_than(mine):
+            # What I promised and kept since is not on this disk.
+            self.durable.life = max(self.durable.life, mine.life + 1)
+            self.durable.promised = max(self.durable.promised, mine.promised)
+            self.forgone = max(self.forgone, (mine.epoch, mine.number))
             self.durable.blank = True
             self.told.clear()
             self.dirty = True
 
+    def older_than(self, mine: Seen) -> bool:
+        """Whether another has seen more of me than my disk holds: it is empty, cut short or of an earlier
+        day.
+        """
+        durable = self.durable
+        return (
+            (mine.life >= durable.life and mine.mark != self.mark)
+            or mine.promised > durable.promised
+            or (mine.epoch, mine.number) > max(self.forgone, (durable.state_epoch, durable.state_number))
+        )
+
+    def shows(self, answer: Answer) -> Seen:
+        return Seen(
+            life=answer.incarnation.life,
+            mark=answer.incarnation.mark,
+            promised=answer.epoch,
+            epoch=answer.state_epoch,
+            number=answer.state_number,
+        )
+
     def asked(self, ask: Ask, now: int) -> Answer:
         self.now = max(self.now, now)
         if ask.name != self.name:
-            self.meet(ask.name, ask.incarnation, ask.seen)
+            self.meet(ask.name, Seen(life=ask.incarnation.life, mark=ask.incarnation.mark), ask.seen)
         asker = (ask.name, ask.incarnation.mark)
         durable = self.durable
         self.highest = max(self.highest, ask.epoch)
         granted = (
             ask.epoch > 0
             and not durable.blank
+            and self.sure()
             and self.now >= self.quiet_until
             and (self.now >= self.granted_until or self.granted_to == asker)
             and (
@@ -145,7 +206,7 @@
         self.now = max(self.now, now)
         durable = self.durable
         self.highest = max(self.highest, told.epoch)
-        if self.fenced and told.epoch < durable.promised:
+        if told.epoch < durable.promised:
             return Kept(kept=False, epoch=durable.promised, name=self.name)
         if told.epoch > durable.promised:
             durable.promised, durable.promised_to = told.epoch, told.name
@@ -165,7 +226,7 @@
         self.now = max(self.now, now)
         if self.now < self.next_ask:
             return None
-        if self.durable.blank:
+        if self.durable.blank or not self.sure():
             self.next_ask = self.now + RENEW
             return self.question(0)  # it asks what the others know, and for nothing
         if self.leads(now):
@@ -177,7 +238,7 @@
         if self.now < self.quiet_until:
             self.next_ask = self.quiet_until + self.chance.randrange(JITTER)
             return None
-        self.epoch = self.next_epoch()
+        self.epoch, self.won = self.next_epoch(), False
         self.grants.clear()
         self.kept_by.clear()
         self.newest = (0, 0, b"")
@@ -196,7 +257,7 @@
         """`epoch` and `sent` are of the question that this answers."""
         self.now = max(self.now, now)
         if answer.name != self.name:
-            self.meet(answer.name, answer.incarnation, answer.seen)
+            self.meet(answer.name, self.shows(answer), answer.seen)
         self.highest = max(self.highest, answer.epoch)
         if self.durable.blank:
             self.learn(answer)
@@ -231,7 +292,13 @@
     def leads(self, now: int) -> bool:
         """Whether it holds the lease at this moment; to be looked at just before each answer."""
         self.now = max(self.now, now)
-        return 0 < self.epoch >= self.overtaken and self.now < self.lease_end()
+        if self.epoch and (self.now >= self.lease_end() or self.epoch < self.overtaken):
+            if self.won:
+                # One that has lapsed is never taken up again: others may have led, and kept more, meanwhile.
+                self.epoch, self.won = 0, False
+            return False
+        self.won = self.epoch > 0
+        return self.won
 
     def outrun(self, epoch: int) -> None:
         """Somebody obeys a higher epoch: this one is over, and the next candidacy begins above it."""
@@ -242,8 +309,10 @@
         """Whether that number is kept by a majority now."""
         self.highest = max(self.highest, answer.epoch)
         if answer.kept:
+            for old in [one for one in self.kept_by if one < number - KEPT_NUMBERS]:
+                del self.kept_by[old]
             self.kept_by.setdefault(number, set()).add(answer.name)
-        return len(self.kept_by.get(number, ())) >= self.majority
-
-    def has_kept(self, number: int) -> bool:
+            seen = self.seen.get(answer.name)
+            if seen is not None:
+                seen.epoch, seen.number = max((seen.epoch, seen.number), (self.epoch, number))
         return len(self.kept_by.get(number, ())) >= self.majority
--- a/birchslip/lab/wires.py
+++ b/birchslip/lab/wires.py
@@ -24,7 +24,7 @@
 BOUND = 4 << 20
 PORTS = (10_000, 32_000)
 CHANCE = random.Random()  # several plays may run at a time: each draws its own ports
-given: set[int] = set()
+guards: list[socket.socket] = []
 MODES = ("pass", "cut", "silent", "deaf", "mute", "late")
 
 
@@ -44,14 +44,16 @@
     """
     for _ in range(2_000):
         port = CHANCE.randrange(*PORTS)
-        if port in given:
-            continue
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            try:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            # Held for as long as this process lives: other plays that run meanwhile pass it over.
+            guard.bind(("127.0.0.1", port))
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
                 sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        given.add(port)
+        except OSError:
+            guard.close()
+            continue
+        guards.append(guard)
         return port
     raise OSError("no free port")
 
