Give visitors from a lost site a quota of their own, and bring a site back within its warm-up

At fault: one meter for both in brain.py. Visitors now share one meter of their own, full from the start, by the source's own delay, which is told to their routers; their sheds at the door say nothing of the age of others (take_in of further tries).

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -163,10 +163,10 @@
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
-        self.plan = Override(0, 0, now, 1)
+        self.plan, self.visiting = Override(0, 0, now, 1), Meter()
         self.force, self.calls_share = 0.0, deployment.calls_share
 
-    # ---- the path of a transaction -------------------------------------------------------------------------
+    # ---- the path of a transaction ---------------------------------------------------------------------
 
     def path(self, tx: Transaction) -> Generator[Wish, Any, None]:
         """The ordinary path, from the reading to the final answer."""
@@ -180,8 +180,9 @@
         delay = self.count(tx)
         if not self.fits(tx, delay):
             self.uncount(tx)
-            # The advice keeps away all that its caller carries: a tenant's delay is not its caller's.
-            yield self.shed(tx, 0 if tx.meter.told else delay)
+            # The advice keeps away all that its caller carries: a tenant's delay is not its caller's. All
+            # that a visitor carries is visiting.
+            yield self.shed(tx, 0 if tx.meter.told and tx.meter is not self.visiting else delay)
             return
         self.enter_hold(tx, delay)
         if tx.profile.kind is Kind.LABELLED:
@@ -274,7 +275,7 @@
         event = yield Wait()
         return event
 
-    # ---- quota: the source's windows and delay -------------------------------------------------------------
+    # ---- quota: the source's windows and delay ---------------------------------------------------------
 
     def meter(self, tx: Transaction) -> Meter:
         """Its tenant's, where a quota is told, or else its caller's."""
@@ -283,6 +284,8 @@
         meter = self.callers[tx.caller] = self.callers.pop(tx.caller) if back else Meter()
         meter.heard = self.now
         self.came_back.add(self.now, 1 if back else -1)
+        if self.force and tx.caller in self.plan.visitors:
+            return self.visiting
         return self.tenants[tx.tenant] if tx.tenant is not None and tx.tenant.quota > 0 else meter
 
     def count(self, tx: Transaction) -> int:
@@ -306,6 +309,8 @@
         less. None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
         could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
+        if meter is self.visiting:
+            return meter.told / max(0.01, self.force)
         if meter.told:
             heard = max(1, sum(1 for peer in self.tenants.values() if peer.ring.total(self.now) > 0))
             usual = max(meter.told, could_serve / heard)
@@ -318,7 +323,7 @@
         """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it."""
         return float(tx.meter.asked.total(self.now) / (tx.meter.told or max(1.0, self.quota(tx.meter))))
 
-    # ---- the plan of the fleet: quotas told anew while in service ------------------------------------------
+    # ---- the plan of the fleet: quotas told anew while in service --------------------------------------
 
     def take_over(self, plan: Override) -> bool:
         """A plan comes into force, or the one in force is told on; an older one changes nothing.
@@ -329,7 +334,15 @@
         if age < held or (age == held and plan.until <= self.plan.until):
             return False
         news = not self.force or (plan.level, plan.short) != (self.plan.level, self.plan.short)
-        self.plan = plan
+        if plan.visitors - self.plan.visitors or not self.force:
+            # As if they had been here at their quota all along: they come all at once, and not to an empty
+            # window.
+            self.visiting = Meter()
+            for ago in range(WINDOWS):
+                self.visiting.ring.add(
+                    self.now - (WINDOWS - 1 - ago) * WINDOW, ceil(plan.visits * WINDOW / SECOND)
+                )
+        self.plan, self.visiting.told = plan, max(0.1, plan.visits)
         for tenant, meter in self.tenants.items():
             meter.planned = plan.quotas.get(tenant, 0.0)
         self.weaken()
@@ -363,15 +376,18 @@
                 return rank, self.typical(tx) / max(1e-9, tx.profile.payoff), tx.again
         return 0, heavy, tx.again
 
-    # ---- the hold ------------------------------------------------------------------------------------------
+    # ---- the hold --------------------------------------------------------------------------------------
 
     def take_in(self, tx: Transaction) -> None:
         """By when it is wanted; a further try, whose age does not show, is as old as sheds here have been."""
         self.serial = tx.serial = self.serial + 1
         self.backlog = self.now - tx.arrived
-        spent = tx.again and self.shed_ages.total(self.now) / max(1, self.turned.total(self.now))
+        spent = tx.again and self.shed_age()
         tx.by = min(tx.due, tx.arrived + tx.profile.goal - int(spent))
 
+    def shed_age(self) -> float:
+        return self.shed_ages.total(self.now) / max(1, self.turned.total(self.now))
+
     def has_room(self, tx: Transaction) -> bool:
         """Not past the grace of a drain, and within the memory, what its label will take included."""
         if tx.arrived > self.shut:
@@ -436,8 +452,10 @@
 
     def shed(self, tx: Transaction, delay: float = 0) -> Shed:
         """It says when to come back; in overload and in a storm of tries, also not to try elsewhere."""
+        # A visitor past its quota goes at the door: that says nothing of how old sheds are that were held.
+        age = self.shed_age() if tx.meter is self.visiting else self.now - tx.arrived
         self.turned.add(self.now, 1)
-        self.shed_ages.add(self.now, self.now - tx.arrived)
+        self.shed_ages.add(self.now, int(age))
         if not self.site.advises:
             return Shed()
         wait = max(delay, self.wait_for_core(), self.backlog, TICK) if self.good else self.site.longest_advice
@@ -498,7 +516,7 @@
         warm = self.site.cold_from + (1 - self.site.cold_from) * grown
         return (1 + (self.site.crowd_multiple - 1) * warm) * self.site.cores
 
-    # ---- runs ----------------------------------------------------------------------------------------------
+    # ---- runs ------------------------------------------------------------------------------------------
 
     def to_cores(self, tx: Transaction) -> None:
         tx.place = Place.CORES
@@ -540,7 +558,7 @@
                 if not tx.answered and self.may_stop(tx):
                     yield tx, GiveUp()
 
-    # ---- calls below ---------------------------------------------------------------------------------------
+    # ---- calls below -----------------------------------------------------------------------------------
 
     def allowed_calls(self) -> float:
         """How many calls may be in hand: the share told, less as they take longer than their base."""
@@ -597,7 +615,7 @@
         cut = outcome is Outcome.SEVERED and tx.profile.kind is Kind.REDOABLE
         return (outcome in NEVER_RAN or cut) and not tx.answered and self.now < tx.by
 
-    # ---- time, health and drain ----------------------------------------------------------------------------
+    # ---- time, health and drain ------------------------------------------------------------------------
 
     def clock(self, now: int) -> None:
         # The pace is kept over core time: a slow spell is not forgotten while little runs.
--- a/birchslip/fleet/comeback.py
+++ b/birchslip/fleet/comeback.py
@@ -23,7 +23,7 @@
 )
 LEANT = 0.4  # of what a step could do, asked for, before it counts as carried
 IDLE = 8  # times a step's hold after which it goes on all the same: there is no load to carry
-DWELL = 4_000  # a step is held for at least 400 ms: two reports and what they show
+DWELL = 3_000  # a step is held for at least 300 ms: a report and a half, and what they show
 WAIT_FIRST, WAIT_MOST = 5_000, 600_000  # one that flaps waits half a second at first, a minute at most
 FORGIVEN = 6_000_000  # ten minutes at home, and earlier losses count no more
 
@@ -85,7 +85,8 @@
             if self.by_hand or 2 * len(shown) < expected or not shown:
                 return ""
             self.enter(Stage.WAITING, now, "its members are heard again")
-            return self.why
+            if self.wait():
+                return self.why
         if self.stage is Stage.WAITING:
             if now - self.since < self.wait() or not shown:
                 return ""
@@ -108,16 +109,16 @@
             self.enter(Stage.STEP, now, f"the step hurt: pace {pace:.1f}, back to {self.level:.2f}")
             return self.why
         # A step that nobody has leant on yet has shown nothing: routers learn late who is listed.
-        leant = asked >= LEANT * min(usual, self.level * sum(one.room for one in shown))
+        leant = asked >= LEANT * self.level * usual
         if self.good < SHOWN or now - self.since < self.hold:
             return ""
         if not leant and now - self.since < IDLE * self.hold:
             return ""
-        if self.step + 1 < len(STEPS) - 1 or (self.step + 1 < len(STEPS) and all(one.warm for one in shown)):
+        if self.step + 1 < len(STEPS):
             self.step += 1
             self.enter(Stage.STEP, now, f"carried the step: pace {pace:.1f}, shed {refused:.2f}")
             return self.why
-        if self.step + 1 == len(STEPS):
+        if all(one.warm for one in shown):
             self.enter(Stage.HOME, now, "carries all of its load")
             return self.why
         return ""
--- a/birchslip/fleet/gauges.py
+++ b/birchslip/fleet/gauges.py
@@ -9,11 +9,13 @@
 SPAN = SLICES * SLICE
 
 
-def room_of(limit: float, cores: int, usual: float) -> float:
-    """Transactions a second that the cores could do at the running limit; 0 while nothing is known of
-    them.
+def room_of(cores: int, usual: float, honoured: float) -> float:
+    """Transactions a second that it can do; 0 while nothing is known of it.
+
+    By its cores and what a run usually takes, or what it has just done if that is more. The running limit
+    says nothing here: where it rises, more runs share the same cores, and each takes longer.
     """
-    return max(float(cores), limit) * SECOND / usual if usual > 0 else 0.0
+    return max(cores * SECOND / usual, honoured) if usual > 0 else 0.0
 
 
 class Rates:
--- a/birchslip/fleet/member.py
+++ b/birchslip/fleet/member.py
@@ -9,6 +9,7 @@
 
 import os
 import random
+from collections.abc import Callable
 from functools import partial
 
 from ..deployment import Malformed
@@ -76,7 +77,7 @@
         self.knocking: dict[str, int] = {}
         self.calls = -1.0
         self.listed = False
-        self.began = scheduler.now
+        self.listing_changed: Callable[[], None] = lambda: None
         self.driver: Driver | None = None  # the decisions, once they have begun
         self.chance = random.Random(self.incarnation.mark)
 
@@ -188,7 +189,7 @@
             serving=self.standing.serving,
             leaving=self.standing.leaving,
             warm=brain is not None and (not brain.site.cold or age >= site.cold_span),
-            room=room_of(brain.limit, site.cores, brain.all_runs.usual) if brain is not None else 0.0,
+            room=room_of(site.cores, brain.all_runs.usual, honoured) if brain is not None else 0.0,
             pace=max(0.0, brain.stretch) if brain is not None else 1.0,
             load=load,
             visits=visits,
@@ -206,6 +207,8 @@
     def carry_out(self, reply: Reply, now: int) -> None:
         for name, door in list(reply.knock.items())[:KNOCKS_MOST]:
             self.knock(name, door)
+        if self.listed != self.obey.listed(now):
+            self.listing_changed()
         tell = reply.tell
         if tell is None or self.driver is None or tell is not self.obey.plan:
             return
@@ -224,6 +227,7 @@
             fade=max(1, tell.fade),
             quotas={self.tenants[name]: rate for name, rate in tell.quotas.items() if name in self.tenants},
             visitors=frozenset(tell.visitors),
+            visits=tell.visits,
             order=tuple(words[word] for word in tell.order if word in words),
             level=tell.level,
             short=tell.short,
--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -54,6 +54,7 @@
         self.home = {member.name: site.name for site in fleet.sites for member in site.members}
         self.verdicts = dict.fromkeys(self.usual, Verdict.HERE)
         self.bases = fleet.bases()
+        self.rooms: dict[str, float] = {}  # the last that was measured of each member
         self.shares: Shares | None = None
         self.reign = 0  # the epoch that this mind has taken over, 0 while it does not lead
         self.number = 0
@@ -258,11 +259,17 @@
         made = []
         for site, comeback in self.comebacks.items():
             members = self.membership.sites[site].values()
-            rooms = {one.name: one.report.room for one in members if not one.report.leaving}
+            rooms = {one.name: self.room(one) for one in members if not one.report.leaving}
             lost = comeback.stage in (Stage.LOST, Stage.WAITING)
             made.append(Place(site, rooms, self.usual[site], self.again[site], lost, comeback.level))
         return made
 
+    def room(self, member: Member) -> float:
+        """As measured; of one that has just started, what was measured before it did."""
+        if member.report.room > 0:
+            self.rooms[member.name] = member.report.room
+        return self.rooms.get(member.name, 0.0)
+
     def renew(self, now: int) -> None:
         """A new plan; it is told once a majority keeps it."""
         self.number += 1
@@ -303,6 +310,7 @@
             fade=span(self.fleet.fade_ms),
             quotas=self.told.quotas.get(name, {}) if away else {},
             visitors=visitors if level == 1 else [],
+            visits=self.told.visits.get(name, 0.0),
             order=list(self.fleet.refuse) if away else [],
             level=level,
             listed=level > 0,
--- a/birchslip/fleet/records.py
+++ b/birchslip/fleet/records.py
@@ -85,6 +85,7 @@
     fade: Span
     quotas: dict[Name, Rate]
     visitors: list[Count]
+    visits: Rate  # of all visitors together
     order: list[Name]
     level: Part  # of its cores that may be used
     listed: bool  # whether routers may find it
--- a/birchslip/fleet/site_plan.py
+++ b/birchslip/fleet/site_plan.py
@@ -5,8 +5,8 @@
 
 1. *What must be refused*: as much as all load is past all room, in the operators' order.
 2. *Where the rest goes*: home load stays at home, the rest takes the cheapest link that still has room.
-3. *Quotas*: each site's room is shared out to tenants by water-filling, so that none within its share gets
-   less than that share while another gets more than its own.
+3. *Quotas*: visitors have one of their own; the rest of a site's room is shared out to tenants at home by
+   water-filling, so that none within its share gets less than that while another gets more than its own.
 
 Rates are transactions a second.
 """
@@ -48,6 +48,7 @@
     refused_at: dict[str, float] = field(default_factory=dict)  # by home site
     level: dict[str, float] = field(default_factory=dict)  # by member: what it takes over its room
     quotas: dict[str, dict[str, float]] = field(default_factory=dict)  # by member and tenant
+    visits: dict[str, float] = field(default_factory=dict)  # by member: of all visitors together
     visiting: dict[str, float] = field(default_factory=dict)  # by site: visitors that it takes
     short: bool = False
 
@@ -188,25 +189,22 @@
 
 
 def hand_out(made: Plan, place: Place, left: dict[str, dict[str, float]], shares: dict[str, float]) -> None:
-    """A site's room to its members and tenants; all members of one site stand alike."""
-    demands = dict.fromkeys(shares, 0.0)
-    taken = 0.0
-    for (a, b), amount in made.flows.items():
-        if b != place.name:
-            continue
-        taken += amount
-        total = sum(left[a].values())
-        for tenant, rate in left[a].items():
-            demands[tenant] += amount * rate / total
-    made.visiting[place.name] = taken - made.flows.get((place.name, place.name), 0.0)
-    parts = water(place.room, demands, shares)
-    # What nobody asks for is there for whoever comes, by share: a quota only binds where there is no room.
-    over = max(0.0, place.room - sum(parts.values()))
-    quota = {tenant: parts[tenant] + over * shares[tenant] for tenant in shares}
+    """A site's room to its members, and there to tenants at home and to visitors; all members stand alike."""
+    home = made.flows.get((place.name, place.name), 0.0)
+    taken = sum(amount for (_, b), amount in made.flows.items() if b == place.name)
+    visiting = made.visiting[place.name] = taken - home
+    total = sum(left[place.name].values())
+    demands = {tenant: home * left[place.name].get(tenant, 0.0) / max(DUST, total) for tenant in shares}
+    parts = water(place.room - visiting, demands, shares)
+    # What nobody asks for is there for whoever comes: a quota binds only where there is no room.
+    over = max(0.0, place.room - taken)
     whole = sum(place.rooms.values())
     for member, room in place.rooms.items():
         made.level[member] = min(1.0, taken / place.room)
-        made.quotas[member] = {tenant: rate * room / whole for tenant, rate in quota.items()}
+        made.visits[member] = (visiting + over) * room / whole
+        made.quotas[member] = {
+            tenant: (parts[tenant] + over * shares[tenant]) * room / whole for tenant in shares
+        }
 
 
 def what_if(
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -283,8 +283,9 @@
     """A plan in force at this app server: quotas told anew while in service, and the order of refusal.
 
     `epoch` is that of the plan's leader and `number` counts its plans. It holds until `until` and then fades
-    over `fade`. `quotas` are transactions a second here; `visitors` are callers whose home is lost. `level`
-    is the share of the cores that may be used while it is let back in; `short` says that no one has room.
+    over `fade`. `quotas` are transactions a second here; `visitors` are callers whose home is lost, and
+    `visits` is the quota of them all together. `level` is the share of the cores that may be used while it is
+    let back in; `short` says that no one has room.
     """
 
     epoch: int
@@ -293,6 +294,7 @@
     fade: int
     quotas: dict[Tenant, float] = field(default_factory=dict)
     visitors: frozenset[int] = frozenset()
+    visits: float = 0.0
     order: tuple[Refusal, ...] = tuple(Refusal)
     level: float = 1.0
     short: bool = False
--- a/birchslip/lab/explore.py
+++ b/birchslip/lab/explore.py
@@ -242,6 +242,7 @@
             fade=SECOND,
             quotas={},
             visitors=[],
+            visits=0.0,
             order=[],
             level=1.0,
             listed=True,
--- a/birchslip/lab/peers.py
+++ b/birchslip/lab/peers.py
@@ -15,16 +15,19 @@
 from functools import partial
 from typing import Any
 
+from ..brain import Ring
 from ..net.buffer import Buffer, Unreadable
 from ..net.connection import Connection
 from ..net.scheduler import READ, Scheduler
-from .truth import Truth
+from .truth import SECOND, Truth
 from .wires import listener
 
 LINE = 65_536
 BOUND = 4 << 20
 KEPT = 4_000
 LISTED = 30_000  # a report stands for three seconds
+HANDSHAKE, READING = 200, 20  # 20 ms of a core for each new connection, 2 ms for each try that is read
+FRONT_MOST = 0.9  # of the cores that those may take
 
 
 class Peer:
@@ -99,6 +102,9 @@
         self.truth, self.server, self.cores, self.written = truth, server, cores, written
         self.cold_from, self.cold_span = cold_from, cold_span
         self.slow = 1.0
+        self.front = Ring(
+            10, SECOND // 10
+        )  # what connections and reading have cost the cores in the last second
         self.life = 0
         self.paused = False
         self.held: deque[Callable[[], None]] = deque()
@@ -125,11 +131,17 @@
         while self.held:
             self.held.popleft()()
 
+    def cost(self, span: int) -> None:
+        """A connection or a try at its app server: the cores pay, whatever becomes of it."""
+        self.front.add(self.scheduler.now, span)
+
     def speed(self) -> float:
+        taken = min(FRONT_MOST, self.front.total(self.scheduler.now) / (self.cores * SECOND))
+        whole = (1 - taken) / self.slow
         if not self.cold:
-            return 1.0 / self.slow
+            return whole
         grown = min(1.0, (self.scheduler.now - self.began) / self.cold_span)
-        return (self.cold_from + (1 - self.cold_from) * grown) / self.slow
+        return (self.cold_from + (1 - self.cold_from) * grown) * whole
 
     # ---- orders ----------------------------------------------------------------------------------------
 
--- a/birchslip/lab/site_loss.py
+++ b/birchslip/lab/site_loss.py
@@ -16,7 +16,7 @@
 from ..net.scheduler import Scheduler
 from .clients import Profile, Router, Server
 from .faults import Step, schedule
-from .peers import Agent, Catalog, Vault
+from .peers import READING, Agent, Catalog, Vault
 from .processes import Process
 from .truth import SECOND, Truth
 from .wires import Wire, free_port
@@ -100,6 +100,7 @@
         self.out: set[str] = set()  # sites that are dead or paused
         for router in self.routers:
             router.lost_sites = lambda: self.out
+            router.cost = lambda server, span: self.agents[server.name].cost(span)
             router.rate = told.load * self.capacity / len(self.routers)
         self.names = [f"planner-{n + 1}" for n in range(told.planners)]
         self.ports = {name: free_port() for name in self.names}
@@ -454,12 +455,13 @@
                 if any(since <= at < until for since, until in self.truth.dark.get(server.site, ())):
                     continue
                 room += CORES * step * self.speed_then(server.site, at)
-            work = 0.0
+            work = reading = 0.0
             while place < len(deeds) and deeds[place].born < at + step:
                 work += deeds[place].work
+                reading += READING  # once each: more tries than that are what a plan may spare
                 place += 1
             asked += work
-            done += min(work, room)
+            done += min(work, room * work / (work + reading)) if work else 0.0
         return done / asked if asked else 1.0
 
     def speed_then(self, site: str, at: int) -> float:
--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -13,7 +13,7 @@
 from .connection import Connection, connect
 from .counters import Counters
 from .log import Log
-from .scheduler import Scheduler
+from .scheduler import Nap, Scheduler
 
 EVERY = 10_000  # a report a second: two may fail before the entry lapses
 LIMIT = 5_000  # a report that is not answered within half a second is missed
@@ -34,6 +34,8 @@
         self.good = good
         self.path = f"/catalog/register/{quote(name, safe='')}"
         self.link: Connection | None = None
+        self.nap = Nap(scheduler)
+        self.hurried = False
         self.move(address)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -53,7 +55,14 @@
                 self.log.fault("report to the catalog missed", why=str(trouble))
                 self.drop()
                 wait = AGAIN
-            self.scheduler.sleep(max(self.scheduler.now + AGAIN, began + wait))
+            if not self.hurried:
+                self.nap.sleep(max(self.scheduler.now + AGAIN, began + wait))
+            self.hurried = False
+
+    def hurry(self) -> None:
+        """What is reported has changed: routers need not learn of it a second later."""
+        self.hurried = True
+        self.nap.end()
 
     def report(self) -> None:
         """One report and its answer; OSError says why it was missed."""
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -64,6 +64,7 @@
 
     driver: Driver | None
     standing: Any
+    listing_changed: Callable[[], None]
 
     def start(self) -> None: ...
     def seen(self, passage: Passage) -> None: ...
@@ -120,6 +121,7 @@
     def accompany(self, companion: Companion) -> None:
         """Before `run`: the fleet's side of it."""
         self.companion = companion
+        companion.listing_changed = self.catalog.hurry
         taken = self.take_in.admit
 
         def seen(passage: Passage) -> None:
--- a/birchslip/net/scheduler.py
+++ b/birchslip/net/scheduler.py
@@ -41,6 +41,26 @@
             self.scheduler.drop_timer()
 
 
+class Nap:
+    """A task's sleep that others may end early."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.scheduler = scheduler
+        self.task: greenlet | None = None
+        self.timer: Timer | None = None
+
+    def sleep(self, until: int) -> None:
+        self.task = getcurrent()
+        self.timer = self.scheduler.at(until, self.end)
+        self.scheduler.hub.switch()
+
+    def end(self) -> None:
+        task, self.task = self.task, None
+        if task is not None and self.timer is not None:
+            self.timer.cancel()
+            self.scheduler.ready.append((task, 0))
+
+
 class Scheduler:
     """`settle` is called once at the end of each pass; `fault` hears what a task or a timer raised."""
 
--- a/tests/test_override.py
+++ b/tests/test_override.py
@@ -121,3 +121,20 @@
     desk.at(600, cpu=0.2)
     assert desk.brain.in_hand > 1
     desk.at(700, (some[0], HONOURED))
+
+
+def test_visitors_have_a_quota_of_their_own_from_the_start_and_are_told_when_to_come_back():
+    tenant = Tenant(100.0)
+    desk = wide(profile(goal=6000, outer=8000), tenants=[tenant], advises=True, longest_advice=SECOND)
+    desk.warm(took=1000, until=12_000)
+    desk.driver.override(plan(visitors=frozenset((7,)), visits=0.5))
+    desk.at(13_000, desk.read(13_000, tenant=tenant), cpu=1.0)
+    desk.at(13_310, desk.read(13_000, tenant=tenant), cpu=1.0)  # read late: work has waited
+    home, visitor = (desk.read(13_320, tenant=tenant, caller=caller) for caller in (1, 7))
+    desk.at(13_320, visitor, home)
+    assert desk.brain.crowded and desk.wishes(home) == []
+    (shed,) = [wish for who, wish in desk.said if who is visitor and type(wish).__name__ == "Shed"]
+    assert (
+        shed.after >= 0.75 * SECOND
+    )  # a whole one past half a transaction a second: a delay of over a second
+    assert desk.brain.tenants[tenant].ring.total(desk.now) == 3  # visitors count against their own alone
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -79,6 +79,7 @@
         fade=10_000,
         quotas={},
         visitors=[],
+        visits=0.0,
         order=[],
         level=1.0,
         listed=listed,
