--- /dev/null
+++ b/benchmarks/explore_vote.py
@@ -0,0 +1,15 @@
+"""Histories of the vote, the fence and the leases, drawn from seeds; stops at the first that must not be.
+
+python benchmarks/explore_vote.py HISTORIES STEPS [FIRST_SEED]
+"""
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from birchslip.lab.explore import explore
+
+count, steps, first = (int(word) for word in [*sys.argv[1:], "0"][:3])
+began = time.monotonic()
+print(explore(range(first, first + count), steps), f"{time.monotonic() - began:.0f} s")
--- /dev/null
+++ b/benchmarks/fleet_month.py
@@ -0,0 +1,15 @@
+"""A month of noise, pauses and restarts in virtual time; no site may be evacuated that is not dark.
+
+python benchmarks/fleet_month.py [DAYS] [SEED]
+"""
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from birchslip.lab.months import play_month
+
+days, seed = float((sys.argv[1:] or ["30"])[0]), int((sys.argv[2:] or ["1"])[0])
+began = time.monotonic()
+print(days, "days, seed", seed, play_month(days, seed), f"{time.monotonic() - began:.0f} s")
--- /dev/null
+++ b/benchmarks/fleet_size.py
@@ -0,0 +1,111 @@
+"""What the I/O-free part of the fleet costs at size: a plan, a look at all sites, a report.
+
+python benchmarks/fleet_size.py
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from functools import partial
+from math import log2
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from birchslip.fleet.fleetfile import Fleet, Member, Planner, Site, Vault
+from birchslip.fleet.mind import Mind
+from birchslip.fleet.records import Incarnation, Report, decode, encode
+from birchslip.fleet.vote import Ballot, Durable
+
+SECOND = 10_000
+
+
+def took(act: Callable[[], object], times: int = 5) -> float:
+    """Median milliseconds."""
+    found = []
+    for _ in range(times):
+        began = time.perf_counter()
+        act()
+        found.append((time.perf_counter() - began) * 1000)
+    return statistics.median(found)
+
+
+def report(name: str, site: str, number: int) -> Report:
+    load = {f"t{n}": 5.0 for n in range(8)}
+    return Report(
+        name=name,
+        site=site,
+        incarnation=Incarnation(mark=1),
+        number=number,
+        door="127.0.0.1:1",
+        age=SECOND,
+        serving=True,
+        leaving=False,
+        warm=True,
+        room=50.0,
+        pace=1.0,
+        load=load,
+        visits=0.0,
+        again=0.0,
+        honoured=40.0,
+        shed=0.0,
+        calls=1.0,
+        share=2.0,
+        lease=0,
+        epoch=0,
+        plan=0,
+    )
+
+
+def main() -> None:
+    print("members  plan ms  per n log n  look ms  report us (decoded, heard, encoded)")
+    for members in (10, 100, 1_000, 10_000):
+        sites = min(9, members)
+        told = [
+            Site(
+                name=f"s{n}",
+                routers=[n],
+                members=[
+                    Member(name=f"s{n}-{m}", address=f"127.0.0.1:{1 + m}") for m in range(members // sites)
+                ],
+            )
+            for n in range(sites)
+        ]
+        fleet = Fleet(
+            planners=[Planner(name="p0", address="127.0.0.1:1")],
+            sites=told,
+            vault=Vault(total=float(members)),
+            tenants={f"t{n}": 0.125 for n in range(8)},
+        )
+        ballot = Ballot("p0", ["p0"], Durable(), 1, 0, random.Random(1))
+        mind = Mind(fleet, ballot, 0)
+        now = 3 * SECOND
+        names = [(member.name, site.name) for site in told for member in site.members]
+        for step in range(8):
+            now += mind.every()
+            ask = ballot.ask(now)
+            if ask is not None:
+                ballot.answered(ballot.asked(ask, now), ask.epoch, now, now)
+            for name, site in names:
+                mind.hear(report(name, site, step + 1), now)
+            mind.look(now)
+            keep = mind.keep()
+            if keep is not None and ballot.kept(ballot.keep(keep, now), keep.number):
+                mind.kept(keep.number)
+        mind.evacuate("s0", "bench", "bench", now)
+        planned = took(partial(mind.renew, now))
+        looked = took(partial(mind.look, now))
+        raws = [encode(report(name, site, 100)) for name, site in names[:500]]
+        began = time.perf_counter()
+        for raw in raws:
+            encode(mind.hear(decode(raw, Report), now))
+        each = (time.perf_counter() - began) / len(raws) * 1e6
+        scale = planned / (members * log2(members)) * 1e3
+        print(f"{members:7} {planned:8.2f} {scale:12.3f} {looked:8.2f} {each:10.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_fleetfile.py
@@ -0,0 +1,141 @@
+"""The fleet file is checked whole, each trouble one plain line with its place; and exit codes."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from birchslip.deployment import Malformed
+from birchslip.fleet.fleetfile import read_fleet, schema
+
+from .fleetdesk import fleet_told
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def put(folder, told):
+    path = folder / "fleet.json"
+    path.write_text(told if isinstance(told, str) else json.dumps(told))
+    return path
+
+
+def changed(**more):
+    return fleet_told(**more)
+
+
+def with_member(**more):
+    told = fleet_told()
+    told["sites"][1]["members"][0] |= more
+    return told
+
+
+WRONG = {
+    "an unknown key": (changed(colour="red"), "unknown field `colour`"),
+    "an unknown key deep down": (with_member(weight=1), "`$.sites[1].members[0]`"),
+    "a site without members": (changed(sites=("a", "b"), each=0), "sites[0].members: site 'a' has none"),
+    "an address twice": (with_member(address="127.0.0.1:1000"), "sites[1].members[0].address"),
+    "a planner's address twice": (with_member(address="127.0.0.1:100"), "stands at planners[0] too"),
+    "a name twice": (with_member(name="a-0"), "the member 'a-0' stands there twice"),
+    "no such port": (with_member(address="127.0.0.1:70000"), "no such port"),
+    "no address": (with_member(address="here"), "`$.sites[1].members[0].address`"),
+    "an order that contradicts itself": (
+        changed(refuse=["home", "visitor"]),
+        "refuse: what stands behind 'home'",
+    ),
+    "a kind of refusal twice": (
+        changed(refuse=["again", "again", "home"]),
+        "the kind 'again' stands there twice",
+    ),
+    "no such kind": (changed(refuse=["guests"]), "refuse[0]: no such kind of refusal as 'guests'"),
+    "a share above 1": (changed(tenants={"blue": 1.5}), "`$.tenants[...]`"),
+    "shares that add up to more": (changed(tenants={"blue": 0.7, "green": 0.5}), "add up to 1.200"),
+    "a share that is kept above 1": (changed(vault={"total": 9, "kept": 2}), "`$.vault.kept`"),
+    "calls above the vault's": (with_member(calls=99.0), "vault.total: 24"),
+    "a link to nowhere": (
+        changed(links=[{"from": "a", "to": "z", "cost": 1}]),
+        "links[0]: no site is named 'z'",
+    ),
+    "a plan shorter than its reports": (changed(plan_ms=500), "plan_ms: 500"),
+    "no planners": (changed(planners=0), "planners: there is none"),
+    "a router at two homes": (
+        changed(sites=("a", "b")) | {"sites": [dict(s, routers=[1]) for s in fleet_told()["sites"]]},
+        "router 1 is at home in 'a' too",
+    ),
+    "no JSON": ("{", "fleet.json"),
+    "no object": ("[]", "Expected `object`"),
+    "an empty file": ("", "fleet.json"),
+}
+
+
+@pytest.mark.parametrize("what", WRONG)
+def test_what_is_wrong_is_named_with_its_place(tmp_path, what):
+    told, words = WRONG[what]
+    with pytest.raises(Malformed) as found:
+        read_fleet(put(tmp_path, told))
+    assert words in str(found.value)
+    assert all(line.startswith(str(tmp_path)) for line in str(found.value).splitlines())
+
+
+def test_all_troubles_are_told_at_once(tmp_path):
+    told = with_member(name="a-0", address="127.0.0.1:1000") | {"refuse": ["home", "again"]}
+    with pytest.raises(Malformed) as found:
+        read_fleet(put(tmp_path, told))
+    assert len(str(found.value).splitlines()) == 3
+
+
+def test_the_schema_in_the_repository_is_the_one_in_force():
+    assert json.loads((ROOT / "deploy" / "fleet.schema.json").read_text()) == json.loads(json.dumps(schema()))
+    assert read_fleet(ROOT / "deploy" / "fleet.json").planners
+
+
+def test_bases_share_the_vault_evenly_but_for_those_told(tmp_path):
+    bases = read_fleet(put(tmp_path, with_member(calls=9.0))).bases()
+    assert bases["b-0"] == 9.0 and bases["a-0"] == 3.0 and sum(bases.values()) == 24.0
+
+
+def command(*words, **environment):
+    done = subprocess.run(
+        [sys.executable, "-m", "birchslip", *words],
+        cwd=ROOT,
+        env=os.environ | environment,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "part"),
+    [
+        (["fleet", "check", "deploy/fleet.json"], 0, "good: 3 planners"),
+        (["fleet", "check", "nowhere.json"], 2, "nowhere.json"),
+        (["fleet", "show", "--fleet", "deploy/fleet.json"], 2, "no planner could be asked"),
+        (["fleet", "what-if", "--fleet", "deploy/fleet.json", "--lose", "north"], 2, "planner-1 at"),
+        (
+            ["planner", "--fleet", "deploy/fleet.json", "--name", "nobody", "--folder", "x"],
+            2,
+            "none is named",
+        ),
+        (["lab", "play", "site-loss", "--seed", "1", "--fault", "plague"], 2, "no fault is named 'plague'"),
+        (["lab", "faults"], 0, "planners-split"),
+        (["fleet", "dance"], 2, "No such command"),
+    ],
+)
+def test_exit_codes(words, code, part):
+    told = command(*words)
+    assert told[0] == code and part in told[1] + told[2]
+    assert "Traceback" not in told[2]
+
+
+def test_an_app_server_whose_fleet_file_is_wrong_does_not_start(tmp_path):
+    config = str(ROOT / "examples" / "app-server.json")
+    path = put(tmp_path, changed(colour="red"))
+    code, _, said = command(PROXY_CONFIG=config, BIRCHSLIP_FLEET=str(path))
+    assert code == 2 and "unknown field `colour`" in said and "Traceback" not in said
+    code, _, said = command(PROXY_CONFIG=config, BIRCHSLIP_FLEET=str(put(tmp_path, fleet_told())))
+    assert code == 2 and "no member is named 'toy-1'" in said
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,82 @@
+"""What survives a planner's restart: whole or not at all, and never taken for more than it is."""
+
+import sqlite3
+
+import pytest
+
+from birchslip.fleet.store import Store, Unkept
+from birchslip.fleet.vote import Durable
+
+KEPT = Durable(3, 128, "p1", 77, 128, 4, b'{"sites":{}}', False, '{"p1":{"life":1,"mark":5}}')
+
+
+def written(folder):
+    store = Store(folder, "p0")
+    assert store.found == Durable() and store.found.blank
+    store.save(KEPT)
+    store.close()
+    return folder / "p0.planner"
+
+
+def test_what_was_saved_is_found_again(tmp_path):
+    written(tmp_path)
+    store = Store(tmp_path, "p0")
+    assert store.found == KEPT and not store.trouble
+    store.close()
+
+
+def test_a_file_cut_anywhere_is_put_aside_or_found_as_it_was_or_as_never_written(tmp_path):
+    raw = written(tmp_path).read_bytes()
+    outcomes = set()
+    for size in range(0, len(raw), 97):
+        folder = tmp_path / str(size)
+        folder.mkdir()
+        (folder / "p0.planner").write_bytes(raw[:size])
+        store = Store(folder, "p0")
+        assert store.found in (KEPT, Durable())
+        assert store.found.blank or not store.trouble
+        outcomes.add(bool(store.trouble))
+        store.save(KEPT)  # whatever it was, it serves again
+        store.close()
+    assert outcomes == {True, False}
+
+
+def test_a_flipped_byte_of_what_was_kept_is_not_believed(tmp_path):
+    path = written(tmp_path)
+    raw = path.read_bytes()
+    at = raw.index(b'{"sites":{}}')
+    path.write_bytes(raw[:at] + b'{"sitez":{}}' + raw[at + 12 :])
+    store = Store(tmp_path, "p0")
+    assert store.found == Durable() and "checksum" in store.trouble
+    assert (tmp_path / "p0.planner.damaged").exists()
+    store.close()
+
+
+def test_a_later_version_is_put_aside(tmp_path):
+    path = written(tmp_path)
+    link = sqlite3.connect(path)
+    link.execute("pragma user_version = 9")
+    link.commit()
+    link.close()
+    store = Store(tmp_path, "p0")
+    assert store.found.blank and "version 9" in store.trouble
+    store.close()
+
+
+def test_a_second_planner_of_the_same_name_is_refused(tmp_path):
+    first = Store(tmp_path, "p0")
+    first.save(KEPT)
+    with pytest.raises(Unkept, match="locked"):
+        Store(tmp_path, "p0")
+    first.close()
+
+
+def test_a_disk_that_does_not_take_it_says_so(tmp_path):
+    store = Store(tmp_path, "p0")
+    store.link.execute("pragma max_page_count = 1")
+    store.link.execute("pragma query_only = on")
+    with pytest.raises(Unkept):
+        store.save(KEPT)
+    store.link.execute("pragma query_only = off")
+    store.save(KEPT)
+    store.close()
