--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from birchslip.lab.toy import Agent, Catalog, Router, Vault
 from birchslip.net.messagepack import pack
-from examples.toy import CONFIGURATION, Agent, Catalog, Router, Vault
+from examples.toy import CONFIGURATION
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 20
