--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -333,7 +333,9 @@
         age, held = (plan.epoch, plan.number), (self.plan.epoch, self.plan.number)
         if age < held or (age == held and plan.until <= self.plan.until):
             return False
-        news = not self.force or (plan.level, plan.short) != (self.plan.level, self.plan.short)
+        news = not self.force or any(
+            getattr(plan, part) != getattr(self.plan, part) for part in ("level", "short", "visitors")
+        )
         if plan.visitors - self.plan.visitors or not self.force:
             # As if they had been here at their quota all along: they come all at once, and not to an empty
             # window.
@@ -347,7 +349,10 @@
             meter.planned = plan.quotas.get(tenant, 0.0)
         self.weaken()
         if news:
-            self.log(f"plan {plan.epoch}.{plan.number} in force: level {plan.level:.2f}, short {plan.short}")
+            self.log(
+                f"plan {plan.epoch}.{plan.number} in force: level {plan.level:.2f}, "
+                f"visitors {sorted(plan.visitors)}, short {plan.short}"
+            )
         return True
 
     def weaken(self) -> None:
--- a/birchslip/cli.py
+++ b/birchslip/cli.py
@@ -243,7 +243,8 @@
         click.echo(text)
     else:
         out.write_text(text + "\n")
-        click.echo(json.dumps({"rules": report["rules"], "service": report["service"]}))
+        told = {name: report[name] for name in ("rules", "service", "dead")}
+        click.echo(json.dumps(told))
     if any(report["rules"].values()) or report["dead"]:
         raise SystemExit(1)
 
--- a/birchslip/lab/processes.py
+++ b/birchslip/lab/processes.py
@@ -65,7 +65,8 @@
             self.paused = False
 
     def leave(self) -> None:
-        if self.process is not None and self.running():
+        if not self.leaving and self.process is not None and self.running():
+            # Once: a second notice may find an interpreter that no longer listens, and kill it.
             self.resume()
             self.leaving = True
             self.process.send_signal(signal.SIGTERM)
