--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -91,7 +91,12 @@
         return True
 
     def take_state(self, raw: bytes, now: int) -> None:
-        """What the leader before had others keep. One that can't be read is of a later version: none is
+        """What the leader before had others keep."""
+        self.comebacks, loads = self.read_state(raw, now)
+        self.usual |= loads
+
+    def read_state(self, raw: bytes, now: int) -> tuple[dict[str, Comeback], dict[str, dict[str, float]]]:
+        """A kept state's sites and their loads. One that can't be read is of a later version: none is
         known.
         """
         try:
@@ -99,22 +104,22 @@
         except msgspec.DecodeError as trouble:
             self.remark("a kept state that can't be read", why=str(trouble))
             state = State()
-        for name in list(self.comebacks):
-            kept = state.sites.get(name)
-            if kept is None:
-                self.comebacks[name] = Comeback(name, since=now)
-                continue
-            self.comebacks[name] = Comeback(
-                name,
-                Stage(kept.stage),
-                kept.step,
-                now,
-                kept.flaps,
-                hold=kept.hold,
-                by_hand=kept.by_hand,
-                why=kept.why,
-            )
-            self.usual[name] = dict(kept.load)
+        sites = {name: Comeback(name, since=now) for name in self.usual}
+        loads = {}
+        for name, kept in state.sites.items():
+            if name in sites:
+                sites[name] = Comeback(
+                    name,
+                    Stage(kept.stage),
+                    kept.step,
+                    now,
+                    kept.flaps,
+                    hold=kept.hold,
+                    by_hand=kept.by_hand,
+                    why=kept.why,
+                )
+                loads[name] = dict(kept.load)
+        return sites, loads
 
     def state(self) -> bytes:
         sites = {
@@ -396,6 +401,9 @@
             }
             for one in sorted(self.membership.members.values(), key=lambda one: (one.site, one.name))
         ]
+        rules = self.rules(now)
+        # One that follows shows what the leader had it keep.
+        comebacks = self.comebacks if rules else self.read_state(self.ballot.durable.state, now)[0]
         sites = [
             {
                 "name": name,
@@ -409,14 +417,14 @@
                 "visiting": round(self.told.visiting.get(name, 0.0), 1),
                 "refused": round(self.told.refused_at.get(name, 0.0), 1),
             }
-            for name, comeback in self.comebacks.items()
+            for name, comeback in comebacks.items()
         ]
         return {
             "planner": self.ballot.name,
-            "leads": self.rules(now),
-            "leader": self.ballot.name if self.rules(now) else self.silence(now).leader,
+            "leads": rules,
+            "leader": self.ballot.name if rules else self.silence(now).leader,
             "epoch": self.ballot.durable.promised,
-            "plan": self.kept_number,
+            "plan": self.ballot.durable.state_number,
             "short": self.told.short,
             "refused": {kind.value: round(amount, 1) for kind, amount in self.told.refused.items()},
             "blank": self.ballot.durable.blank,
--- a/birchslip/lab/site_loss.py
+++ b/birchslip/lab/site_loss.py
@@ -30,6 +30,7 @@
 TENANTS = {"blue": 0.5, "green": 0.3, "red": 0.2}
 CALLS_EACH = 3.0
 STOP_MS = 2_000
+COSTS = ("member_cpu_s", "member_memory_kb")
 WORK = sum(one.share * one.work for one in PROFILES) / sum(one.share for one in PROFILES)
 
 
@@ -503,10 +504,22 @@
             "trouble": self.faults[:5],
             "transactions": len(truth.deeds),
             "calls_most": truth.calls_most,
+            **self.of_members(),
             "series": self.series(),
         }
         return told
 
+    def of_members(self) -> dict[str, Any]:
+        """What a survivor took of the machine: seconds of processor time in the mean, and memory at the
+        end.
+        """
+        costs = [used for name, used in self.costs.items() if not name.startswith(f"{self.sites[0]}-")]
+        return {
+            "member_cpu_s": round(sum(cpu for cpu, _ in costs) / max(1, len(costs)), 3),
+            "member_memory_kb": max((memory for _, memory in costs), default=0),
+            "played_s": round(self.until / SECOND, 1),
+        }
+
     def series(self) -> list[list[float]]:
         """Second by second from the loss: service, ideal and attempts for each transaction."""
         zero, made = self.spans["before"][1], []
@@ -537,15 +550,12 @@
                     home.append(at)
         in_force = None if not held or None in held else max(one for one in held if one is not None) / SECOND
         back = [at for at in home if self.returns and at >= self.returns[-1]]
-        costs = [used for name, used in self.costs.items() if not name.startswith(f"{self.sites[0]}-")]
         return {
             "in_force_s": in_force,
             "false_evacuations": sum(1 for at, site in lost if not self.truth.was_dark(site, at)),
             "evacuations": len(lost),
             "back_s": round((min(back) - self.returns[-1]) / SECOND, 2) if back else None,
             "leaders": sum(len(one.lines("event=leads")) for one in self.planners.values()),
-            "member_cpu_s": round(sum(cpu for cpu, _ in costs) / max(1, len(costs)), 2),
-            "member_memory_kb": max((memory for _, memory in costs), default=0),
         }
 
 
@@ -581,7 +591,16 @@
             single = play_once(replace(told, fleet=False), kept / "single")
             report["single_level"] = {
                 name: single[name]
-                for name in ("rules", "service", "attempts_each", "after", "refused", "dead")
+                for name in (
+                    "rules",
+                    "service",
+                    "attempts_each",
+                    "after",
+                    "refused",
+                    "dead",
+                    "series",
+                    *COSTS,
+                )
             }
     finally:
         if told.logs is None:
