Grant permits from the planners: kept by a majority before they are told, asked from the command line

The mind now counts every member of the fleet file as it is seen (silent, leaving, cold, of a lost site), keeps permits, askers, overrides and the record in the state that a majority keeps, and answers an asker once that is so: a door's answer may now come later. Groups and budgets stand in the fleet file and its schema, checked whole; `fleet permit, hand-back, strike, override`, and groups in `fleet show`.

--- a/birchslip/cli.py
+++ b/birchslip/cli.py
@@ -18,7 +18,7 @@
 
 from .deployment import Malformed
 from .fleet.fleetfile import Fleet, read_fleet, schema
-from .fleet.records import Wish, encode
+from .fleet.records import Want, Wish, encode
 from .net.buffer import Buffer
 from .net.clients import messages
 from .net.messagepack import pack
@@ -48,12 +48,12 @@
         raise NotAsked(str(trouble)) from None
 
 
-def ask(address: str, wish: Wish) -> Any:
+def ask(address: str, wish: Wish | Want) -> Any:
     """One question to one planner; OSError or Malformed says why there is no answer."""
     host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), PATIENCE) as link:
         link.settimeout(PATIENCE)
-        link.sendall(pack([0, 1, "wish", [encode(wish)]]))
+        link.sendall(pack([0, 1, "wish" if isinstance(wish, Wish) else "want", [encode(wish)]]))
         buffer = Buffer(1 << 22)
         until = time.monotonic() + PATIENCE
         while time.monotonic() < until:
@@ -70,7 +70,7 @@
         raise OSError("no answer in time")
 
 
-def ask_any(fleet: Fleet, wish: Wish, planner: str = "") -> Any:
+def ask_any(fleet: Fleet, wish: Wish | Want, planner: str = "") -> Any:
     """The leader where it can be found, else whoever answers; wishes that change something want the
     leader.
     """
@@ -81,7 +81,7 @@
     for one in planners:
         try:
             answer = ask(one.address, wish)
-            if wish.what != "show" or answer.get("leads") or planner:
+            if not isinstance(wish, Wish) or wish.what != "show" or answer.get("leads") or planner:
                 return answer
             answers.append(answer)
         except (OSError, ValueError) as trouble:
@@ -195,6 +195,65 @@
     by_hand(path, as_json, Wish(what="return", site=site, who=who))
 
 
+def wanted(path: str, as_json: bool, want: Want) -> None:
+    """Exit code 1 where it is not granted."""
+    told = ask_any(fleet_of(path), want)
+    if as_json:
+        click.echo(json.dumps(told))
+    elif told["granted"]:
+        click.echo(
+            f"{want.what} {want.holder}: granted" + (f", permit {told['number']}" if told["number"] else "")
+        )
+    else:
+        place = f", place {told['place']}" if told["place"] else ""
+        click.echo(f"{want.what} {want.holder}: not granted{place}: {told['why']}")
+    if not told["granted"]:
+        raise SystemExit(1)
+
+
+@fleet.command()
+@FLEET
+@AS_JSON
+@click.argument("member")
+@click.option("--why", required=True)
+@click.option("--past", is_flag=True, help="Past the budgets, by an override that stands.")
+def permit(path: str, as_json: bool, member: str, why: str, past: bool) -> None:
+    """Ask that a member may be out; asking again keeps its place, or tells of the same permit."""
+    wanted(path, as_json, Want(what="past" if past else "permit", holder=member, why=why))
+
+
+@fleet.command("hand-back")
+@FLEET
+@AS_JSON
+@click.argument("member")
+def hand_back(path: str, as_json: bool, member: str) -> None:
+    """A member that has not gone out will not go; one that has is seen back by itself."""
+    wanted(path, as_json, Want(what="hand-back", holder=member))
+
+
+@fleet.command()
+@FLEET
+@AS_JSON
+@click.argument("member")
+@click.option("--who", required=True)
+def strike(path: str, as_json: bool, member: str, who: str) -> None:
+    """A member will not come back: its permit ends."""
+    wanted(path, as_json, Want(what="strike", holder=member, who=who))
+
+
+@fleet.command()
+@FLEET
+@AS_JSON
+@click.option("--who", required=True)
+@click.option("--why", required=True)
+@click.option("--count", type=click.IntRange(1, 3), default=1, show_default=True)
+@click.option("--minutes", type=click.IntRange(1, 60), default=10, show_default=True)
+def override(path: str, as_json: bool, who: str, why: str, count: int, minutes: int) -> None:
+    """In an emergency: let so many out past the budgets. It stands in the record."""
+    span = minutes * 60 * 10_000
+    wanted(path, as_json, Want(what="override", who=who, why=why, count=count, span=span))
+
+
 @cli.group()
 def lab() -> None:
     """Rehearsals: real processes among stand-ins, with faults between them."""
--- a/birchslip/fleet/fleetfile.py
+++ b/birchslip/fleet/fleetfile.py
@@ -10,6 +10,7 @@
 
 from ..deployment import Malformed
 from ..interface import MS, Refusal
+from .permits import Group
 from .records import Name, Part
 
 Address = Annotated[
@@ -59,6 +60,18 @@
     cost: Cost
 
 
+class Budget(Piece):
+    """How many of some app servers may be out at once: of the sites and members named, or of all."""
+
+    name: Word
+    sites: list[Name] = []
+    members: list[Name] = []
+    all: bool = False
+    most_out: Annotated[int, msgspec.Meta(ge=0, le=100_000)] | None = None
+    share_out: Part | None = None
+    least_room: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+
+
 class Vault(Piece):
     """The shared vault: calls in hand that all may have together, and the part of a share that is never
     lent.
@@ -78,6 +91,7 @@
     tenants: dict[Name, Part] = {}
     refuse: list[Name] = msgspec.field(default_factory=lambda: [kind.value for kind in Refusal])
     vault: Vault | None = None
+    groups: list[Budget] = []
     report_ms: Milliseconds = 200
     plan_ms: Milliseconds = 4_000
     fade_ms: Milliseconds = 5_000
@@ -103,6 +117,24 @@
         rest = max(0.0, self.vault.total - told) / max(1, len(even))
         return {member.name: rest if member.calls is None else member.calls for member in members}
 
+    def budgets(self) -> list[Group]:
+        """The groups with their members."""
+        made = []
+        for told in self.groups:
+            names = {
+                one.name for site in self.sites for one in site.members if told.all or site.name in told.sites
+            }
+            made.append(
+                Group(
+                    told.name,
+                    frozenset(names | set(told.members)),
+                    told.most_out,
+                    told.share_out,
+                    told.least_room,
+                )
+            )
+        return made
+
     def site_of(self, member: str) -> Site | None:
         return next((site for site in self.sites if any(one.name == member for one in site.members)), None)
 
@@ -147,6 +179,19 @@
                 yield f"links[{n}]: from {link.source!r} to itself"
         yield from twice("links", [f"{one.source} to {one.target}" for one in self.links], "link")
         yield from self.order_trouble()
+        yield from twice("groups", [one.name for one in self.groups], "group")
+        known = {one.name for _, one in members}
+        for n, group in enumerate(self.groups):
+            for name in group.sites:
+                if name not in names:
+                    yield f"groups[{n}].sites: no site is named {name!r}"
+            for name in group.members:
+                if name not in known:
+                    yield f"groups[{n}].members: no member is named {name!r}"
+            if not (group.all or group.sites or group.members):
+                yield f"groups[{n}]: group {group.name!r} has no members"
+            if group.most_out is None and group.share_out is None and not group.least_room:
+                yield f"groups[{n}]: group {group.name!r} bounds nothing"
         if sum(self.tenants.values()) > 1 + 1e-9:
             yield f"tenants: the shares add up to {sum(self.tenants.values()):.3f}, more than 1"
         if self.vault is not None and sum(self.bases().values()) > self.vault.total + 1e-9:
--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -12,8 +12,23 @@
 
 from .comeback import Comeback, Stage
 from .fleetfile import Fleet, span
-from .membership import Member, Membership, Verdict
-from .records import Count, Keep, Name, Rate, Record, Reply, Report, Span, Tell, Words
+from .membership import Life, Member, Membership, Verdict
+from .permits import Asker, Book, Permits, Seen, Why
+from .records import (
+    Count,
+    Granted,
+    Incarnation,
+    Keep,
+    Name,
+    Rate,
+    Record,
+    Reply,
+    Report,
+    Span,
+    Tell,
+    Want,
+    Words,
+)
 from .shares import Shares
 from .site_plan import Place, Plan, plan, what_if
 from .vote import Ballot
@@ -42,6 +57,7 @@
     """What the leader has a majority keep."""
 
     sites: dict[Name, SiteState] = msgspec.field(default_factory=dict)
+    permits: Book = msgspec.field(default_factory=Book)
 
 
 class Mind:
@@ -55,6 +71,8 @@
         self.verdicts = dict.fromkeys(self.usual, Verdict.HERE)
         self.bases = fleet.bases()
         self.rooms: dict[str, float] = {}  # the last that was measured of each member
+        self.permits = Permits(fleet.budgets())
+        self.looked_at = now
         self.shares: Shares | None = None
         self.reign = 0  # the epoch that this mind has taken over, 0 while it does not lead
         self.number = 0
@@ -92,18 +110,21 @@
 
     def take_state(self, raw: bytes, now: int) -> None:
         """What the leader before had others keep."""
-        self.comebacks, loads = self.read_state(raw, now)
+        state = self.read_state(raw)
+        self.comebacks, loads = self.read_sites(state, now)
         self.usual |= loads
+        self.permits.book = state.permits
 
-    def read_state(self, raw: bytes, now: int) -> tuple[dict[str, Comeback], dict[str, dict[str, float]]]:
-        """A kept state's sites and their loads. One that can't be read is of a later version: none is
-        known.
-        """
+    def read_state(self, raw: bytes) -> State:
+        """One that can't be read is of a later version: nothing of it is known."""
         try:
-            state = msgspec.json.decode(raw, type=State) if raw else State()
+            return msgspec.json.decode(raw, type=State) if raw else State()
         except msgspec.DecodeError as trouble:
             self.remark("a kept state that can't be read", why=str(trouble))
-            state = State()
+            return State()
+
+    def read_sites(self, state: State, now: int) -> tuple[dict[str, Comeback], dict[str, dict[str, float]]]:
+        """A kept state's sites and their loads."""
         sites = {name: Comeback(name, since=now) for name in self.usual}
         loads = {}
         for name, kept in state.sites.items():
@@ -135,7 +156,7 @@
             for name, one in self.comebacks.items()
             if one.stage is not Stage.HOME or one.flaps
         }
-        return msgspec.json.encode(State(sites=sites))
+        return msgspec.json.encode(State(sites=sites, permits=self.permits.book))
 
     # ---- what comes in ---------------------------------------------------------------------------------
 
@@ -243,6 +264,9 @@
                         "site moves", site=site, stage=comeback.stage.value, level=comeback.level, why=word
                     )
                     changed = True
+        self.permits.pass_time(now - self.looked_at)
+        self.looked_at = now
+        changed = self.permits.look(self.seen(now)) or changed
         out = any(one.stage is not Stage.HOME for one in self.comebacks.values())
         if changed or (out and now - self.made_at >= AGAIN):
             self.renew(now)
@@ -342,6 +366,76 @@
         beside = max(1, sum(1 for one in self.membership.alive(member.site, now)))
         return own + away * visiting / taken / beside
 
+    # ---- who may be out --------------------------------------------------------------------------------
+
+    def seen(self, now: int) -> dict[str, Seen]:
+        """Every member of the fleet file as it is seen; one that was never heard is out."""
+        found = {}
+        for name, site in self.home.items():
+            member = self.membership.members.get(name)
+            if member is None:
+                found[name] = Seen(Incarnation(), 0.0, Why.SILENT)
+                continue
+            report, why = member.report, None
+            life = member.life(now, self.every())
+            if life is Life.LEFT:
+                why = Why.LEAVING
+            elif life is not Life.ALIVE:
+                why = Why.SILENT
+            elif self.comebacks[site].stage is not Stage.HOME:
+                why = Why.LOST
+            elif not report.serving or not report.warm:
+                why = Why.COLD
+            found[name] = Seen(member.incarnation, self.room(member), why)
+        return found
+
+    def want(self, want: Want, now: int) -> tuple[int, Granted]:
+        """What comes of it, and the number that a majority has to keep before it may be told."""
+        seen = self.seen(now)
+        before = self.permits.keep()
+        if want.what == "override":
+            why = self.permits.override(want.who, want.why, want.count, want.span)
+            granted = Granted(granted=not why, why=why)
+        elif want.holder not in seen:
+            return self.kept_number, Granted(granted=False, why=f"no member is named {want.holder!r}")
+        elif want.what == "strike":
+            self.permits.strike(want.holder, want.who)
+            granted = Granted(granted=True)
+        else:
+            granted = self.want_out(want, want.incarnation or seen[want.holder].incarnation, seen)
+        if self.permits.keep() != before:
+            self.remark(
+                "permits", what=want.what, holder=want.holder, granted=granted.granted, why=granted.why
+            )
+            self.renew(now)
+        return self.number, granted
+
+    def want_out(self, want: Want, incarnation: Incarnation, seen: dict[str, Seen]) -> Granted:
+        if want.what == "hand-back":
+            return Granted(granted=self.permits.hand_back(want.holder, incarnation, seen))
+        asker = Asker(holder=want.holder, incarnation=incarnation, why=want.why)
+        ask = self.permits.ask_past if want.what == "past" else self.permits.ask
+        answer = ask(asker, seen)
+        number = answer.permit.number if answer.permit is not None else 0
+        return Granted(granted=answer.permit is not None, number=number, place=answer.place, why=answer.why)
+
+    def shown_permits(self, book: Book, now: int) -> dict[str, object]:
+        permits = Permits(self.permits.groups, book)
+        out = permits.out(self.seen(now))
+        return {
+            "groups": [
+                {"name": one.name, "allowed": one.allowed, "out": len(one.members.intersection(out))}
+                for one in permits.groups
+            ],
+            "out": {name: why.value for name, why in sorted(out.items())} if permits.groups else {},
+            "permits": [
+                {"holder": one.holder, "number": one.number, "why": one.why, "override": one.override}
+                for one in book.permits
+            ],
+            "waiting": [one.holder for one in book.waiting],
+            "record": book.record[-16:],
+        }
+
     # ---- operators -------------------------------------------------------------------------------------
 
     def evacuate(self, site: str, who: str, why: str, now: int) -> bool:
@@ -403,7 +497,8 @@
         ]
         rules = self.rules(now)
         # One that follows shows what the leader had it keep.
-        comebacks = self.comebacks if rules else self.read_state(self.ballot.durable.state, now)[0]
+        state = self.read_state(self.ballot.durable.state)
+        comebacks = self.comebacks if rules else self.read_sites(state, now)[0]
         sites = [
             {
                 "name": name,
@@ -430,6 +525,7 @@
             "blank": self.ballot.durable.blank,
             "sites": sites,
             "members": members,
+            **self.shown_permits(self.permits.book if rules else state.permits, now),
         }
 
     def remark(self, event: str, **more: object) -> None:
--- a/birchslip/fleet/planner.py
+++ b/birchslip/fleet/planner.py
@@ -24,11 +24,11 @@
 from ..net.site import address
 from .fleetfile import Fleet
 from .mind import LOOK, Mind
-from .records import Answer, Ask, Keep, Kept, Record, Report, Wish, decode, encode
+from .records import Answer, Ask, Granted, Keep, Kept, Record, Report, Want, Wish, decode, encode
 from .steady import steady_clock
 from .store import Store, Unkept
 from .vote import Ballot
-from .wire import Door, Guest, Line
+from .wire import Door, Guest, Later, Line
 
 TICK = 250  # the vote is looked at forty times a second
 LIMIT = 3_000  # an answer of another planner that takes longer than 300 ms is none
@@ -36,7 +36,8 @@
 DESCRIPTORS = 32  # kept for the disk, the log, other planners and operators
 STORY = (
     "vote.asked vote.granted vote.won vote.lost keep.told keep.kept keep.refused "
-    "members.reports members.malformed members.broken wishes.taken wishes.refused disk.flushes disk.failed"
+    "members.reports members.malformed members.broken wishes.taken wishes.refused "
+    "wants.taken wants.refused disk.flushes disk.failed"
 ).split()
 
 
@@ -103,6 +104,7 @@
         self.links: dict[str, set[Guest]] = {}
         self.next_look = self.next_keep = 0
         self.keeping = 0
+        self.owed: list[tuple[int, int, Granted, Later]] = []  # answers that a majority has to keep first
         self.signals, self.wakeup = socket.socketpair()
         self.led = False
 
@@ -183,6 +185,7 @@
             self.counters.count("vote.won" if leads else "vote.lost")
             self.mind.look(now)
         self.have_kept(now)
+        self.pay()
         for event, more in self.mind.take_remarks():
             self.log.info(event, **more)
 
@@ -226,15 +229,17 @@
             self.counters.count("keep.kept" if kept.kept else "keep.refused")
             if asked.epoch == self.mind.reign and self.ballot.kept(kept, asked.number):
                 self.mind.kept(asked.number)
+                self.pay()
 
     # ---- the door --------------------------------------------------------------------------------------
 
-    def serve(self, guest: Guest, method: str, value: bytes) -> bytes:
-        serve: Callable[[Guest, bytes, int], bytes] | None = {
+    def serve(self, guest: Guest, method: str, value: bytes) -> bytes | Later:
+        serve: Callable[[Guest, bytes, int], bytes | Later] | None = {
             "report": self.take_report,
             "ask": self.take_ask,
             "keep": self.take_keep,
             "wish": self.take_wish,
+            "want": self.take_want,
         }.get(method)
         if serve is None:
             raise Malformed(f"no such method: {method[:40]!r}")
@@ -287,6 +292,36 @@
         self.counters.count("wishes.taken")
         return msgspec.json.encode({"done": done, "site": wish.site, "what": wish.what})
 
+    def take_want(self, guest: Guest, value: bytes, now: int) -> bytes | Later:
+        """Told once a majority keeps it; one that loses its lead meanwhile says so, and the next one
+        knows it.
+        """
+        want = decode(value, Want)
+        if not self.mind.rules(now):
+            self.counters.count("wants.refused")
+            raise Malformed(f"not the leader: ask {self.mind.silence(now).leader or 'again soon'}")
+        self.counters.count("wants.taken")
+        number, granted = self.mind.want(want, now)
+        if number <= self.mind.kept_number:
+            return encode(granted)
+        later = Later()
+        self.owed.append((self.mind.reign, number, granted, later))
+        self.have_kept(now)
+        self.pay()
+        return later
+
+    def pay(self) -> None:
+        """What a majority keeps now may be told."""
+        left = []
+        for reign, number, granted, later in self.owed:
+            if reign != self.mind.reign:
+                later.done(Malformed("no longer the leader: ask the next one"))
+            elif number <= self.mind.kept_number:
+                later.done(encode(granted))
+            else:
+                left.append((reign, number, granted, later))
+        self.owed = left
+
     def gone(self, guest: Guest, why: str) -> None:
         self.forget(guest)
 
--- a/birchslip/fleet/records.py
+++ b/birchslip/fleet/records.py
@@ -146,6 +146,29 @@
     name: Name
 
 
+class Want(Record):
+    """Somebody wants a member to be out, or to hand its permit back. Without an incarnation, the one seen
+    is meant.
+    """
+
+    what: Annotated[str, msgspec.Meta(pattern="^(permit|past|hand-back|strike|override)$")]
+    holder: str = ""
+    incarnation: Incarnation | None = None
+    who: Words = ""
+    why: Words = ""
+    count: Count = 1
+    span: Span = 0
+
+
+class Granted(Record):
+    """What came of it: a permit and its number, or the place among those who wait, and why."""
+
+    granted: bool
+    number: Count = 0
+    place: Count = 0
+    why: str = ""
+
+
 class Wish(Record):
     """What an operator asks of the fleet by hand."""
 
--- a/birchslip/fleet/tables.py
+++ b/birchslip/fleet/tables.py
@@ -43,6 +43,12 @@
         console.print(f"refused: {kind} {rate} a second")
     console.print(table("sites", SITE, told["sites"]))
     console.print(table("members", MEMBER, told["members"]))
+    if told["groups"]:
+        console.print(table("groups", ("name", "allowed", "out"), told["groups"]))
+        for one in told["permits"]:
+            past = ", past the budgets" if one["override"] else ""
+            console.print(f"permit {one['number']}: {one['holder']}: {one['why']}{past}")
+        console.print(f"waiting: {', '.join(told['waiting']) or 'nobody'}")
 
 
 def show_loss(told: dict[str, Any]) -> None:
--- a/birchslip/fleet/wire.py
+++ b/birchslip/fleet/wire.py
@@ -8,7 +8,7 @@
 
 import errno
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 from ..net.buffer import Buffer, Unreadable
@@ -30,6 +30,19 @@
     return parts
 
 
+class Later:
+    """An answer that is still to come; `send` is set by the door, `done` is called once, with value or
+    error.
+    """
+
+    def __init__(self) -> None:
+        self.send: Callable[[tuple[Any, Any]], None] = lambda answer: None
+
+    def done(self, value: bytes | Exception) -> None:
+        error = isinstance(value, Exception)
+        self.send((str(value)[:400], None) if error else (None, pieces(value)))  # type: ignore[arg-type]
+
+
 class Guest:
     """One connection at a door; `about` is what the handlers know of who is there."""
 
@@ -42,23 +55,30 @@
         for message in read:
             match message:
                 case [0, int(number), str(method), [bytes(value)]]:
-                    self.connection.write(pack([1, number, *self.door.answer(self, method, value)]))
+                    self.answer(number, self.door.answer(self, method, value))
                 case _:
                     raise Unreadable("a message of no known form")
         if trouble:
             raise Unreadable(trouble)
 
+    def answer(self, number: int, answer: Later | tuple[Any, Any]) -> None:
+        if isinstance(answer, Later):
+            answer.send = lambda then: self.connection.write(pack([1, number, *then]))
+        else:
+            self.connection.write(pack([1, number, *answer]))
+
 
 class Door:
-    """Listens and answers. `serve` is told guest, method and value, and returns the answer or raises
-    ValueError or OSError, whose text the other side hears; `gone` is told of each guest that has left.
+    """Listens and answers. `serve` is told guest, method and value, and returns the answer, or one that is
+    still to come, or raises ValueError or OSError, whose text the other side hears; `gone` is told of each
+    guest that has left.
     """
 
     def __init__(
         self,
         scheduler: Scheduler,
         most: int,
-        serve: Callable[[Guest, str, bytes], bytes],
+        serve: Callable[[Guest, str, bytes], bytes | Later],
         gone: Callable[[Guest, str], None],
     ) -> None:
         self.scheduler, self.most, self.serve, self.gone = scheduler, most, serve, gone
@@ -104,11 +124,12 @@
             del self.guests[guest]
             self.gone(guest, why)
 
-    def answer(self, guest: Guest, method: str, value: bytes) -> Iterator[Any]:
+    def answer(self, guest: Guest, method: str, value: bytes) -> Later | tuple[Any, Any]:
         try:
-            return iter((None, pieces(self.serve(guest, method, value))))
+            answer = self.serve(guest, method, value)
+            return answer if isinstance(answer, Later) else (None, pieces(answer))
         except (ValueError, OSError) as trouble:
-            return iter((str(trouble)[:400], None))
+            return str(trouble)[:400], None
 
 
 class Line:
--- a/tests/test_fleetfile.py
+++ b/tests/test_fleetfile.py
@@ -64,6 +64,23 @@
         changed(sites=("a", "b")) | {"sites": [dict(s, routers=[1]) for s in fleet_told()["sites"]]},
         "router 1 is at home in 'a' too",
     ),
+    "a group twice": (
+        changed(groups=[{"name": "g", "all": True, "most_out": 1}] * 2),
+        "the group 'g' stands there",
+    ),
+    "a group of nobody": (
+        changed(groups=[{"name": "g", "most_out": 1}]),
+        "groups[0]: group 'g' has no members",
+    ),
+    "a group that bounds nothing": (changed(groups=[{"name": "g", "all": True}]), "group 'g' bounds nothing"),
+    "a group of no such site": (
+        changed(groups=[{"name": "g", "sites": ["z"], "most_out": 1}]),
+        "groups[0].sites: no site is named 'z'",
+    ),
+    "a group of no such member": (
+        changed(groups=[{"name": "g", "members": ["z-1"], "share_out": 0.5}]),
+        "groups[0].members: no member is named 'z-1'",
+    ),
     "no JSON": ("{", "fleet.json"),
     "no object": ("[]", "Expected `object`"),
     "an empty file": ("", "fleet.json"),
--- a/tests/test_mind.py
+++ b/tests/test_mind.py
@@ -6,7 +6,7 @@
 import pytest
 
 from birchslip.fleet.mind import Mind
-from birchslip.fleet.records import Incarnation
+from birchslip.fleet.records import Incarnation, Want
 from birchslip.fleet.site_plan import Place, plan
 from birchslip.fleet.vote import Ballot
 from birchslip.lab.months import play_month
@@ -136,6 +136,59 @@
     assert [site["verdict"] for site in shown["sites"]] == ["here"] * 3 and len(shown["members"]) == 6
 
 
+GROUPS = [
+    {"name": "fleet", "all": True, "most_out": 2},
+    *({"name": site, "sites": [site], "most_out": 1} for site in "abc"),
+]
+
+
+def want(stage, holder, what="permit", **more):
+    number, granted = stage.mind.want(Want(what=what, holder=holder, why="a release", **more), stage.now)
+    stage.pass_time(0.2)
+    assert number <= stage.mind.kept_number
+    return granted
+
+
+def test_permits_count_the_lost_the_leaving_and_the_cold_and_end_when_seen_back(tmp_path):
+    stage = Stage(tmp_path, groups=GROUPS).pass_time(4)
+    assert want(stage, "a-0").granted and want(stage, "a-0").number == 1
+    stage.told["b-0"] = {"leaving": True}
+    stage.pass_time(1)
+    waiting = want(stage, "b-1")
+    assert (waiting.granted, waiting.place) == (False, 1) and "may be" in waiting.why
+    stage.marks["a-0"], stage.told["a-0"] = 2, {"warm": False}
+    stage.marks["b-0"], stage.told["b-0"] = 2, {}
+    stage.pass_time(1)
+    shown = stage.mind.show(stage.now)
+    assert shown["out"] == {"a-0": "cold", "b-1": "permit"}  # b-0 is back, so the one who waited is served
+    stage.told["a-0"] = {}
+    stage.pass_time(1)
+    assert [one["holder"] for one in stage.mind.show(stage.now)["permits"]] == ["b-1"]
+
+
+def test_the_loss_of_a_site_uses_up_what_may_be_out(tmp_path):
+    stage = Stage(tmp_path, groups=GROUPS).pass_time(4)
+    stage.lose("a")
+    stage.pass_time(1)
+    assert not want(stage, "b-0").granted
+    stage.give_back("a")
+    stage.pass_time(4)
+    assert stage.mind.show(stage.now)["permits"][0]["holder"] == "b-0"
+
+
+def test_a_permit_survives_its_leader_and_an_override_is_on_record(tmp_path):
+    stage = Stage(tmp_path, groups=GROUPS).pass_time(4)
+    assert want(stage, "a-0").granted and not want(stage, "a-1").granted
+    ballot = Ballot("p0", ["p0"], stage.mind.ballot.durable, 2, stage.now, random.Random(2))
+    stage.mind = Mind(stage.fleet, ballot, stage.now)
+    stage.pass_time(4)
+    assert want(stage, "a-0").number == 1
+    assert want(stage, "", "override", who="ann", count=1, span=SECOND * 60).granted
+    assert want(stage, "a-1", "past").granted
+    assert any("ann" in line for line in stage.mind.show(stage.now)["record"])
+    assert not want(stage, "nobody").granted and want(stage, "a-1", "hand-back").granted
+
+
 def test_a_simulated_day_of_noise_pauses_and_restarts_without_a_false_evacuation():
     told = play_month(days=1, seed=4)
     assert told["false_evacuations"] == 0 and told["restarts"] > 20 and told["pauses"] > 20
--- /dev/null
+++ b/tests/test_permit_processes.py
@@ -0,0 +1,177 @@
+"""Permits at real planners, asked as an operator asks: killed leaders, restarts, a minority."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from birchslip.cli import ask, ask_any
+from birchslip.deployment import Malformed
+from birchslip.fleet.fleetfile import read_fleet
+from birchslip.fleet.records import Want, Wish, encode
+from birchslip.lab.wires import free_port
+from birchslip.net.buffer import Buffer
+from birchslip.net.clients import messages
+from birchslip.net.messagepack import pack
+
+from .fleetdesk import fleet_told, report
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 30
+
+
+class Member(threading.Thread):
+    """Reports to one planner as a member would, for as long as it is told to."""
+
+    def __init__(self, name, address):
+        super().__init__(daemon=True)
+        self.member, self.address, self.stopped = name, address, threading.Event()
+        self.mark, self.number = 1, 0
+
+    def run(self):
+        while not self.stopped.is_set():
+            try:
+                with socket.create_connection(self.address, 2) as link:
+                    self.talk(link)
+            except OSError:
+                self.stopped.wait(0.1)
+
+    def talk(self, link):
+        buffer = Buffer(1 << 20)
+        while not self.stopped.wait(0.1):
+            self.number += 1
+            raw = encode(report(self.member, self.number, self.mark))
+            link.sendall(pack([0, self.number, "report", [raw]]))
+            while not messages(buffer)[0]:
+                if not buffer.fill(link):
+                    return
+
+
+class Place:
+    """Three planners and the members of two sites."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        told = fleet_told(sites=("a", "b"), planners=3)
+        for planner in told["planners"]:
+            planner["address"] = f"127.0.0.1:{free_port()}"
+        told["groups"] = [{"name": "fleet", "all": True, "most_out": 1}]
+        self.path = folder / "fleet.json"
+        self.path.write_text(json.dumps(told))
+        self.fleet = read_fleet(self.path)
+        self.planners = {}
+        for planner in self.fleet.planners:
+            self.start(planner.name)
+        self.members = [
+            Member(one.name, (planner.address.split(":")[0], int(planner.address.split(":")[1])))
+            for planner in self.fleet.planners
+            for site in self.fleet.sites
+            for one in site.members
+        ]
+        for member in self.members:
+            member.start()
+        self.until(lambda: self.leader() and len(self.show()["members"]) == 4)
+
+    def start(self, name):
+        words = ["planner", "--fleet", str(self.path), "--name", name, "--folder", str(self.folder / name)]
+        with (self.folder / f"{name}.log").open("a") as out:
+            self.planners[name] = subprocess.Popen(
+                [sys.executable, "-m", "birchslip", *words], cwd=ROOT, stdout=out, stderr=out
+            )
+
+    def kill(self, name):
+        self.planners[name].kill()
+        self.planners[name].wait(PATIENCE)
+
+    def show(self, name=""):
+        return ask_any(self.fleet, Wish(what="show"), name)
+
+    def leader(self):
+        try:
+            told = self.show()
+        except Exception:
+            return ""
+        return told["planner"] if told["leads"] else ""
+
+    def want(self, holder, what="permit"):
+        """Asked until somebody leads."""
+        found = []
+
+        def answered():
+            try:
+                found.append(ask_any(self.fleet, Want(what=what, holder=holder, why="a release")))
+            except Exception:
+                return False
+            return True
+
+        self.until(answered)
+        return found[-1]
+
+    @staticmethod
+    def until(holds):
+        end = time.monotonic() + PATIENCE
+        while not holds():
+            assert time.monotonic() < end, "it did not come about in time"
+            time.sleep(0.05)
+
+    def come_back(self, name):
+        for member in self.members:
+            if member.member == name:
+                member.mark, member.number = 2, 0
+
+    def stop(self):
+        for member in self.members:
+            member.stopped.set()
+        for planner in self.planners.values():
+            if planner.poll() is None:
+                planner.send_signal(signal.SIGTERM)
+        assert {planner.wait(PATIENCE) for planner in self.planners.values()} <= {0, -signal.SIGKILL}
+
+
+@pytest.fixture
+def place(tmp_path):
+    made = Place(tmp_path)
+    yield made
+    made.stop()
+
+
+def test_a_permit_survives_its_leader_and_every_planner(place):
+    first = place.want("a-0")
+    assert first["granted"] and place.want("a-0")["number"] == first["number"]
+    assert place.want("b-0")["place"] == 1
+    leader = place.leader()
+    place.kill(leader)
+    assert place.want("a-0") == first
+    assert not place.want("b-0")["granted"]
+    for name in place.planners:
+        if name != leader:
+            place.kill(name)
+    for name in place.planners:
+        place.start(name)
+    assert place.want("a-0") == first
+    place.come_back("a-0")
+    place.until(lambda: place.want("b-0")["granted"])
+    assert [one["holder"] for one in place.show()["permits"]] == ["b-0"]
+
+
+def test_a_minority_grants_nothing(place):
+    leader = place.leader()
+    others = [name for name in place.planners if name != leader]
+    for name in others:
+        os.kill(place.planners[name].pid, signal.SIGSTOP)
+    address = next(one.address for one in place.fleet.planners if one.name == leader)
+    with pytest.raises((OSError, Malformed)):
+        ask(address, Want(what="permit", holder="a-0", why="a release"))
+    with pytest.raises(Malformed, match="not the leader"):
+        ask(address, Want(what="permit", holder="a-0", why="a release"))
+    for name in others:
+        os.kill(place.planners[name].pid, signal.SIGCONT)
+    assert place.want("a-0")["granted"]
+    assert len(place.show()["permits"]) == 1
