Judge a release by a sequential test that may be looked at without end

Each figure (a share of bad ones) is judged by a mixture of sequential likelihood ratios against a margin that somebody would mind; crowds of outcomes count as fewer; cold members and looks with one side alone say nothing; crashes need no statistics. Bad, good or unclear, and the figures it went by.

Measured: 150 good releases each in calm, in a surge and with crowded outcomes, looked at up to 240 times: at most one called bad, 145 and more called good; 60 that are worse by 0.5, 0.3 and 0.15 all found, in 5, 10 and 30 s.

--- a/benchmarks/permit_grants.py
+++ b/benchmarks/permit_grants.py
@@ -32,9 +32,8 @@
             ask(address, Want(what="hand-back", holder="a-0"))
         took.sort()
         p99 = took[int(0.99 * len(took))]
-        print(
-            f"{asks} grants: median {statistics.median(took):.1f} ms, p99 {p99:.1f} ms, worst {took[-1]:.1f} ms"
-        )
+        median = statistics.median(took)
+        print(f"{asks} grants: median {median:.1f} ms, p99 {p99:.1f} ms, worst {took[-1]:.1f} ms")
         began = time.monotonic()
         place.kill(leader)
         place.want("a-0")
--- /dev/null
+++ b/birchslip/fleet/judgement.py
@@ -0,0 +1,191 @@
+"""Is the released version worse than the one before? Released against not yet released members of the same
+minutes.
+
+A test that is looked at again and again finds something in the end if its level is that of one look. So
+each figure is judged by a mixture of sequential likelihood ratios (Robbins 1970; for comparisons that run
+on, Johari, Pekelis and Walsh 2015): its chance to call two alike versions different stays under `ERROR`
+over all looks together, however many there are.
+
+Only members that are warm are compared, and only for the looks in which both sides had them: a surge or a
+slow store below meets both. Each figure is a share of bad ones among all: answers that were late, shed or
+written off, and runs slower than the others' usual. A difference counts as bad only past a `margin` that
+somebody would mind.
+
+| verdict | when |
+| --- | --- |
+| bad | one figure is worse by more than its margin, past doubt |
+| good | every figure is past doubt not worse by more than its margin, and it was watched for long enough |
+| unclear | neither yet; at the end of the watch that is a halt of its own |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from math import exp, log, sqrt
+
+ERROR = 0.005  # chance that one figure calls alike versions different, over all looks
+SPREAD = 0.05  # of the differences that the mixture expects: the test is sharpest about there
+LEAST = 50  # of each side, before anything is said of a figure
+GROUPED = (
+    2.0  # outcomes come in crowds: a queue makes many late at once, which counts as fewer independent ones
+)
+MOST_RATIO = 700.0  # of a logarithm: past it the ratio is infinite to a float
+
+
+class Verdict(Enum):
+    GOOD = "good"
+    BAD = "bad"
+    UNCLEAR = "unclear"
+
+
+@dataclass(slots=True)
+class Side:
+    """Bad ones and all of one figure, on one side."""
+
+    bad: float = 0.0
+    all: float = 0.0
+
+    @property
+    def share(self) -> float:
+        return self.bad / self.all if self.all else 0.0
+
+    def add(self, bad: float, every: float) -> None:
+        self.bad += min(bad, every)
+        self.all += every
+
+
+@dataclass(slots=True)
+class Figure:
+    """One comparison. `margin` is the difference of shares that somebody would mind."""
+
+    name: str
+    margin: float
+    released: Side = field(default_factory=Side)
+    others: Side = field(default_factory=Side)
+
+    def add(self, released: tuple[float, float], others: tuple[float, float]) -> None:
+        """Of one look; where one side has nothing, the look says nothing."""
+        if released[1] > 0 and others[1] > 0:
+            self.released.add(*released)
+            self.others.add(*others)
+
+    @property
+    def worse(self) -> float:
+        return self.released.share - self.others.share
+
+    def variance(self) -> float:
+        """Of the difference, if both were alike but for the margin; never none, as shares of nought are
+        not sure.
+        """
+        a, b = self.released, self.others
+        p = (a.bad + b.bad + 1) / (a.all + b.all + 2)
+        return GROUPED * p * (1 - p) * (1 / a.all + 1 / b.all)
+
+    def ratio(self, from_difference: float) -> float:
+        """The logarithm of the mixture's likelihood against a true difference of so much."""
+        variance = self.variance()
+        mixed = variance + SPREAD * SPREAD
+        off = self.worse - from_difference
+        return (log(variance / mixed) + off * off * (1 / variance - 1 / mixed)) / 2
+
+    def verdict(self) -> Verdict:
+        if min(self.released.all, self.others.all) < LEAST:
+            return Verdict.UNCLEAR
+        sure = self.ratio(self.margin) >= -log(ERROR)
+        if sure:
+            return Verdict.BAD if self.worse > self.margin else Verdict.GOOD
+        return Verdict.UNCLEAR
+
+    def told(self) -> dict[str, object]:
+        """The figures that the verdict went by."""
+        return {
+            "name": self.name,
+            "released": round(self.released.share, 4),
+            "others": round(self.others.share, 4),
+            "of": [round(self.released.all), round(self.others.all)],
+            "margin": self.margin,
+            "verdict": self.verdict().value,
+            "surety": round(1 - exp(-min(MOST_RATIO, max(0.0, self.ratio(self.margin)))), 4)
+            if min(self.released.all, self.others.all) >= LEAST
+            else 0.0,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """What one member showed since the look before: by figure, bad ones and all."""
+
+    warm: bool
+    figures: Mapping[str, tuple[float, float]]
+
+
+class Judgement:
+    """One batch under watch. `margins` are by figure; `least` and `most` bound the watch, in tenths of a ms.
+
+    A crash needs no statistics: more than `crashes` of released members that died by themselves are bad at
+    once.
+    """
+
+    def __init__(
+        self, margins: Mapping[str, float], least: int, most: int, began: int, crashes: int = 0
+    ) -> None:
+        self.figures = {name: Figure(name, margin) for name, margin in margins.items()}
+        self.least, self.most, self.began, self.crashes = least, most, began, crashes
+        self.crashed = 0
+        self.first_harm: int | None = None
+        self.why = ""
+
+    def look(self, released: list[Shown], others: list[Shown], now: int) -> Verdict:
+        warm, beside = ([one for one in side if one.warm] for side in (released, others))
+        for name, figure in self.figures.items():
+            figure.add(total(warm, name), total(beside, name))
+        verdict = self.verdict(now)
+        if verdict is Verdict.BAD and self.first_harm is None:
+            self.first_harm = now
+        return verdict
+
+    def crash(self) -> None:
+        """A released member has ended by itself."""
+        self.crashed += 1
+
+    def verdict(self, now: int) -> Verdict:
+        if self.crashed > self.crashes:
+            self.why = f"{self.crashed} of the released ended by themselves"
+            return Verdict.BAD
+        said = {name: figure.verdict() for name, figure in self.figures.items()}
+        bad = [name for name, verdict in said.items() if verdict is Verdict.BAD]
+        if bad:
+            figure = self.figures[bad[0]]
+            self.why = f"{bad[0]}: {figure.released.share:.3f} against {figure.others.share:.3f}"
+            return Verdict.BAD
+        if now - self.began < self.least:
+            self.why = "not watched for long enough"
+            return Verdict.UNCLEAR
+        open_ones = [name for name, verdict in said.items() if verdict is Verdict.UNCLEAR]
+        if not open_ones:
+            self.why = "no figure is worse by more than its margin"
+            return Verdict.GOOD
+        self.why = f"unclear: {', '.join(open_ones)}"
+        return Verdict.UNCLEAR
+
+    def over(self, now: int) -> bool:
+        """Whether what is unclear now stays so: the watch has come to its end."""
+        return now - self.began >= self.most
+
+    def told(self) -> list[dict[str, object]]:
+        return [figure.told() for figure in self.figures.values()]
+
+
+def total(side: list[Shown], name: str) -> tuple[float, float]:
+    found = [one.figures[name] for one in side if name in one.figures]
+    return sum(bad for bad, _ in found), sum(every for _, every in found)
+
+
+def half_width(figure: Figure) -> float:
+    """How far the true difference may be from the one seen, at this moment, at `ERROR`."""
+    variance = figure.variance()
+    mixed = variance + SPREAD * SPREAD
+    room = -2 * log(ERROR) - log(variance / mixed)
+    return sqrt(max(0.0, room) / (1 / variance - 1 / mixed))
--- /dev/null
+++ b/tests/test_judgement.py
@@ -0,0 +1,93 @@
+"""The judgement of a release: looked at again and again it does not err more, and it finds what is bad."""
+
+import random
+
+import pytest
+
+from birchslip.fleet.judgement import LEAST, Figure, Judgement, Shown, Verdict, half_width
+
+SECOND = 10_000
+MARGINS = {"late": 0.05, "shed": 0.05}
+
+
+def play(seed, worse=0.0, surge=False, grouped=False, looks=240, sides=(2, 10), usual=0.03):
+    """A watch of so many looks, half a second each; the verdict, and after how many looks it came."""
+    chance = random.Random(seed)
+    judgement = Judgement(MARGINS, 10 * SECOND, looks * SECOND // 2, 0)
+    for look in range(1, looks + 1):
+        base = usual + (0.25 if surge and 40 <= look < 100 else 0.0)  # a surge meets both sides
+        if grouped and chance.random() < 0.1:
+            base = min(1.0, base + 0.3)
+
+        def shown(extra, base=base):
+            rate = chance.randrange(15, 25)
+            late = sum(chance.random() < min(1.0, base + extra) for _ in range(rate))
+            return Shown(True, {"late": (late, rate), "shed": (0, rate)})
+
+        released, others = (
+            [shown(extra) for _ in range(n)] for n, extra in zip(sides, (worse, 0.0), strict=True)
+        )
+        verdict = judgement.look(released, others, look * SECOND // 2)
+        if verdict is not Verdict.UNCLEAR:
+            return verdict, look
+    return Verdict.UNCLEAR, looks
+
+
+@pytest.mark.parametrize("more", [{}, {"surge": True}, {"grouped": True}], ids=["calm", "surge", "crowds"])
+def test_good_versions_are_hardly_ever_called_bad_however_often_they_are_looked_at(more):
+    found = [play(seed, **more) for seed in range(150)]
+    assert sum(verdict is Verdict.BAD for verdict, _ in found) <= 1
+    assert sum(verdict is Verdict.GOOD for verdict, _ in found) >= 145
+
+
+@pytest.mark.parametrize(("worse", "looks"), [(0.5, 10), (0.3, 20), (0.15, 60)])
+def test_bad_versions_are_found_the_sooner_the_worse_they_are(worse, looks):
+    found = [play(seed, worse) for seed in range(60)]
+    assert all(verdict is Verdict.BAD for verdict, _ in found)
+    assert sorted(look for _, look in found)[-2] <= looks
+
+
+def test_a_difference_at_the_margin_is_unclear_and_stays_so_to_the_end():
+    found = [play(seed, 0.05)[0] for seed in range(60)]
+    assert found.count(Verdict.UNCLEAR) >= 57
+
+
+def test_it_is_not_good_before_it_was_watched_for_long_enough():
+    assert all(look >= 20 for verdict, look in (play(seed) for seed in range(20)) if verdict is Verdict.GOOD)
+
+
+def test_cold_members_and_looks_with_one_side_alone_say_nothing():
+    judgement = Judgement(MARGINS, 0, SECOND, 0)
+    bad = Shown(True, {"late": (100, 100)})
+    cold = Shown(False, {"late": (100, 100)})
+    good = Shown(True, {"late": (0, 100)})
+    assert judgement.look([cold], [good], 1) is Verdict.UNCLEAR
+    assert judgement.look([bad], [], 2) is Verdict.UNCLEAR
+    assert judgement.figures["late"].released.all == 0
+    assert judgement.look([bad], [good], 3) is Verdict.BAD and judgement.first_harm == 3
+    assert "late: 1.000 against 0.000" in judgement.why
+
+
+def test_a_crash_needs_no_statistics():
+    judgement = Judgement(MARGINS, 0, SECOND, 0, crashes=1)
+    judgement.crash()
+    assert judgement.verdict(1) is Verdict.UNCLEAR
+    judgement.crash()
+    assert judgement.verdict(1) is Verdict.BAD and "ended by themselves" in judgement.why
+
+
+def test_it_says_which_figures_it_went_by_and_when_its_end_has_come():
+    judgement = Judgement(MARGINS, 0, SECOND, 0)
+    shown = Shown(True, {"late": (2, 500)})
+    judgement.look([shown], [shown], 1)
+    late, shed = judgement.told()
+    assert (late["released"], late["others"], late["of"]) == (0.004, 0.004, [500, 500])
+    assert shed["verdict"] == "unclear" and not judgement.over(1) and judgement.over(SECOND)
+
+
+def test_the_width_of_doubt_shrinks_as_more_is_seen():
+    figure, widths = Figure("late", 0.05), []
+    for _ in range(4):
+        figure.add((LEAST, 10 * LEAST), (LEAST, 10 * LEAST))
+        widths.append(half_width(figure))
+    assert widths == sorted(widths, reverse=True) and figure.worse == 0
