--- /dev/null
+++ b/birchslip/fleet/release.py
@@ -0,0 +1,327 @@
+"""A release, decided step by step: who goes out next, what the platform is asked, when it halts, the way
+back.
+
+Any planner can carry it on. What is kept (`Course`) says what is wanted; what *is* comes anew each time
+from the platform and from the members' reports, so that a conductor that dies leaves nothing half known. An
+order has the number of the permit that it rests on: the platform passes over one that it has carried out
+before, so nothing is drained twice, whoever asks and however often.
+
+    running --bad, unclear at its end, a lost site, a word--> halted --resume--> running
+    running --all batches good--> done          halted --back--> backing --all in the old version--> back
+
+A member on its way:
+
+    in (old) -> permitted -> draining -> stopped -> started -> warm (new) -> watched with its batch
+
+A halt takes hold at once: no drain begins any more. What is stopped already is started again: in the new
+version, or in the old one where the new one was found bad. One that starts in neither is left out and
+named, and all halts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from .judgement import Judgement, Shown, Verdict
+from .permits import Asker, Permits, Seen
+from .records import Count, Name, Part, Record, Words
+
+STARTS_MOST = 2  # in one version before another is tried
+HISTORY_MOST = 256
+
+Version = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+
+
+class Phase(Enum):
+    RUNNING = "running"
+    HALTED = "halted"
+    BACKING = "backing"
+    DONE = "done"
+    BACK = "back"
+
+
+class Is(Enum):
+    """What the platform says that a member's process is."""
+
+    UP = "up"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+    FAILED = "failed"  # its last start did not come up
+
+
+class Plan(Record):
+    """A release file. The first batch are the canaries; `sites` in the order in which they are released."""
+
+    version: Version
+    before: Version
+    sites: list[Name] = msgspec.field(default_factory=list)  # all of the fleet file where there are none
+    canaries: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+    batch: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 2
+    watch_ms: Annotated[int, msgspec.Meta(ge=1, le=86_400_000)] = 10_000
+    watch_most_ms: Annotated[int, msgspec.Meta(ge=1, le=86_400_000)] = 120_000
+    margins: dict[Name, Part] = msgspec.field(
+        default_factory=lambda: {"late": 0.05, "shed": 0.05, "written_off": 0.02}
+    )
+    crashes: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
+
+    def trouble(self) -> str:
+        """What the forms of the fields can't tell."""
+        if self.version == self.before:
+            return f"version: {self.version!r} is the one before too"
+        if self.watch_most_ms < self.watch_ms:
+            return f"watch_most_ms: {self.watch_most_ms} is under watch_ms, {self.watch_ms}"
+        if len(set(self.sites)) < len(self.sites):
+            return "sites: one stands there twice"
+        if not self.margins:
+            return "margins: nothing would be judged"
+        return ""
+
+
+class Course(Record):
+    """What the leader has a majority keep of one release."""
+
+    plan: Plan
+    batches: list[list[Name]]
+    at: Count = 0  # the batch that is on its way
+    phase: Name = Phase.RUNNING.value
+    why: Words = ""
+    bad: bool = False  # whether the new version was found bad
+    left_out: list[Name] = msgspec.field(default_factory=list)
+    history: list[Words] = msgspec.field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """One member as the platform tells of it. `starts` counts those in `version` that did not come up,
+    `ends` how often it has ended by itself in it.
+    """
+
+    state: Is
+    version: str
+    starts: int = 0
+    ends: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What the platform is asked: `drain` stops it in its own time, `start` starts it in a version."""
+
+    what: str
+    member: str
+    version: str
+    number: int
+
+
+def batches_of(plan: Plan, sites: Mapping[str, list[str]]) -> list[list[str]]:
+    """Canaries of the first site first; then batches site by site, none across two."""
+    names = plan.sites or list(sites)
+    made = [list(sites[names[0]][: plan.canaries])]
+    for site in names:
+        rest = [name for name in sites[site] if name not in made[0]]
+        made += [rest[at : at + plan.batch] for at in range(0, len(rest), plan.batch)]
+    return made
+
+
+class Release:
+    """The conductor's decisions on one course. `permits` are the fleet's."""
+
+    def __init__(self, course: Course, permits: Permits, now: int) -> None:
+        self.course, self.permits = course, permits
+        self.judgement: Judgement | None = None
+        self.changed = False
+        self.taken_over = now
+
+    @property
+    def plan(self) -> Plan:
+        return self.course.plan
+
+    @property
+    def phase(self) -> Phase:
+        return Phase(self.course.phase)
+
+    # ---- words -----------------------------------------------------------------------------------------
+
+    def move(self, phase: Phase, why: str) -> None:
+        self.course.phase, self.course.why = phase.value, why[:400]
+        self.course.history.append(f"{phase.value}: {why}"[:400])
+        del self.course.history[:-HISTORY_MOST]
+        self.changed = True
+        if phase is not Phase.RUNNING:
+            self.judgement = None
+
+    def halt(self, why: str) -> bool:
+        """At once, and whatever comes after: only a person goes on from here."""
+        if self.phase not in (Phase.RUNNING, Phase.BACKING):
+            return False
+        self.move(Phase.HALTED, why)
+        return True
+
+    def resume(self, who: str) -> bool:
+        if self.phase is not Phase.HALTED or self.course.bad or self.course.left_out:
+            return False
+        self.move(Phase.RUNNING, f"resumed by {who}")
+        return True
+
+    def back(self, who: str) -> bool:
+        if self.phase not in (Phase.HALTED, Phase.RUNNING, Phase.DONE):
+            return False
+        self.course.bad = True
+        self.move(Phase.BACKING, f"back by {who}")
+        return True
+
+    # ---- a look ----------------------------------------------------------------------------------------
+
+    def look(
+        self,
+        platform: Mapping[str, Platform],
+        seen: Mapping[str, Seen],
+        shown: Mapping[str, Shown],
+        lost: Iterable[str],
+        now: int,
+    ) -> list[Order]:
+        """What is to be asked of the platform now; `lost` are sites that are out."""
+        gone = sorted(lost)
+        if gone and self.phase is Phase.RUNNING:
+            self.halt(f"site lost: {', '.join(gone)}; a person resumes")
+        if self.phase is Phase.RUNNING:
+            self.judge(platform, shown, now)
+        orders = self.rescue(platform)
+        if self.phase is Phase.RUNNING:
+            orders += self.forward(platform, seen, now)
+        elif self.phase is Phase.BACKING:
+            orders += self.backward(platform, seen)
+        return orders
+
+    def all_members(self) -> list[str]:
+        return [name for batch in self.course.batches for name in batch]
+
+    def target(self, name: str) -> str:
+        """The version that this one is to be started in, if it is down: a bad one never again."""
+        return self.plan.before if self.course.bad else self.plan.version
+
+    def rescue(self, platform: Mapping[str, Platform]) -> list[Order]:
+        """Whoever is down on this release's account is started again, whatever the phase: a halt leaves
+        none out.
+        """
+        orders = []
+        for name in self.all_members():
+            is_now, permit = platform.get(name), self.permits.holder(name)
+            if is_now is None or permit is None or name in self.course.left_out:
+                continue
+            if is_now.state is Is.STOPPED:
+                orders.append(Order("start", name, self.target(name), permit.number))
+            elif is_now.state is Is.FAILED:
+                orders += self.failed(name, is_now, permit.number)
+        return orders
+
+    def failed(self, name: str, is_now: Platform, number: int) -> list[Order]:
+        """It did not come up: once more, then in the other version, and then it is left out and all halts."""
+        if is_now.starts < STARTS_MOST:
+            return [Order("start", name, is_now.version, number)]
+        if is_now.version == self.plan.version:
+            if not self.course.bad:
+                self.course.bad = True
+                self.halt(f"{name} does not start in {self.plan.version}")
+                self.changed = True
+            return [Order("start", name, self.plan.before, number)]
+        self.course.left_out.append(name)
+        self.changed = True
+        self.halt(f"{name} starts in neither version: left out")
+        return []
+
+    # ---- forward ---------------------------------------------------------------------------------------
+
+    def batch(self) -> list[str]:
+        at = self.course.at
+        return self.course.batches[at] if at < len(self.course.batches) else []
+
+    def released(self, platform: Mapping[str, Platform]) -> list[str]:
+        return [
+            name for name, one in platform.items() if one.state is Is.UP and one.version == self.plan.version
+        ]
+
+    def forward(self, platform: Mapping[str, Platform], seen: Mapping[str, Seen], now: int) -> list[Order]:
+        batch = [name for name in self.batch() if name not in self.course.left_out]
+        waiting = [name for name in batch if not self.is_there(name, self.plan.version, platform, seen)]
+        if waiting:
+            return self.send_out(waiting, self.plan.version, platform, seen)
+        if self.judgement is None:
+            watch, most = self.plan.watch_ms * 10, self.plan.watch_most_ms * 10
+            self.judgement = Judgement(self.plan.margins, watch, most, now)
+        return []
+
+    def is_there(
+        self, name: str, version: str, platform: Mapping[str, Platform], seen: Mapping[str, Seen]
+    ) -> bool:
+        """Up in that version, warm, and its permit over."""
+        one, shown = platform.get(name), seen.get(name)
+        up = one is not None and one.state is Is.UP and one.version == version
+        return up and shown is not None and shown.out is None and self.permits.holder(name) is None
+
+    def send_out(
+        self, names: list[str], version: str, platform: Mapping[str, Platform], seen: Mapping[str, Seen]
+    ) -> list[Order]:
+        """Permits for those that are not out yet, and a drain for each that has one and is still up in the
+        other version. It is told whose life the permit is of: a later one is none of this order's.
+        """
+        orders = []
+        for name in names:
+            one, shown = platform.get(name), seen.get(name)
+            if one is None or shown is None or one.state is not Is.UP or one.version == version:
+                continue
+            asker = Asker(holder=name, incarnation=shown.incarnation, why=f"release of {version}")
+            permit = self.permits.ask(asker, seen).permit
+            if permit is not None and permit.incarnation == shown.incarnation:
+                orders.append(Order("drain", name, version, permit.number))
+        return orders
+
+    def judge(self, platform: Mapping[str, Platform], shown: Mapping[str, Shown], now: int) -> None:
+        """The batch under watch, against those that are still in the old version."""
+        # Told by the platform and not noted here: a crash that only a dead conductor saw would be forgotten.
+        crashes = sum(one.ends for one in platform.values() if one.version == self.plan.version)
+        if crashes > self.plan.crashes:
+            self.course.bad = True
+            self.halt(f"bad: released members ended by themselves, {crashes} times")
+            return
+        if self.judgement is None:
+            return
+        new = set(self.released(platform))
+        released = [one for name, one in shown.items() if name in new]
+        others = [one for name, one in shown.items() if name not in new]
+        verdict = self.judgement.look(released, others, now)
+        if verdict is Verdict.BAD:
+            self.course.bad = True
+            self.halt(f"bad: {self.judgement.why}")
+        elif verdict is Verdict.GOOD or not others:
+            self.next_batch("good" if verdict is Verdict.GOOD else "nobody is left to compare with")
+        elif self.judgement.over(now):
+            self.halt(f"unclear at the end of its watch: {self.judgement.why}")
+
+    def next_batch(self, why: str) -> None:
+        self.judgement = None
+        self.course.at += 1
+        self.course.history.append(f"batch {self.course.at}: {why}"[:400])
+        self.changed = True
+        if self.course.at >= len(self.course.batches):
+            self.move(Phase.DONE, "every batch is released")
+
+    # ---- the way back ----------------------------------------------------------------------------------
+
+    def backward(self, platform: Mapping[str, Platform], seen: Mapping[str, Seen]) -> list[Order]:
+        """Newest batch first, through the same permits."""
+        for batch in reversed(self.course.batches[: self.course.at + 1]):
+            left = [
+                name
+                for name in batch
+                if name not in self.course.left_out
+                and not self.is_there(name, self.plan.before, platform, seen)
+            ]
+            if left:
+                return self.send_out(left, self.plan.before, platform, seen)
+        self.move(Phase.BACK, "every member is in the version before")
+        return []
