--- a/birchslip/lab/faults.py
+++ b/birchslip/lab/faults.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 SECOND = 10_000
+MINUTE = 60 * SECOND
 
 FAULTS = {
     "none": "nothing fails",
@@ -24,6 +25,7 @@
     "leader-killed": "the leading planner is killed between deciding and telling",
     "leader-paused": "the leading planner is paused when the site is lost and wakes as if nothing had been",
     "planners-gone": "all planners are killed during the loss and started again before its end",
+    "planners-gone-minute": "the same for a minute, at any pace of the play",
     "planner-empty": "a planner is killed and comes back with an empty disk while the site is out",
     "planner-cut-short": "a planner is killed and comes back with a file that is cut short",
     "planner-old": "a planner is killed and comes back with a disk of an earlier hour",
@@ -96,6 +98,11 @@
             Step(10_000, "kill-planner", "all"),
             Step(lost * 2 // 3, "start-planner", "all"),
         ],
+        "planners-gone-minute": [
+            *out(a, 0, MINUTE + 50_000),
+            Step(10_000, "kill-planner", "all"),
+            Step(10_000 + MINUTE, "start-planner", "all"),
+        ],
         "planner-empty": planner_with(a, lost, "empty"),
         "planner-cut-short": planner_with(a, lost, "cut-short"),
         "planner-old": [Step(-30_000, "save-disk", "follower"), *planner_with(a, lost, "old")],
--- a/birchslip/lab/site_loss.py
+++ b/birchslip/lab/site_loss.py
@@ -30,6 +30,7 @@
 TENANTS = {"blue": 0.5, "green": 0.3, "red": 0.2}
 CALLS_EACH = 3.0
 STOP_MS = 2_000
+MINUTE = "planners-gone-minute"  # whose loss lasts longer than the schedule's own span
 COSTS = ("member_cpu_s", "member_memory_kb")
 WORK = sum(one.share * one.work for one in PROFILES) / sum(one.share for one in PROFILES)
 
@@ -227,7 +228,7 @@
         last = max((step.at for step in steps), default=0)
         self.spans = {
             "before": (before // 2, before),
-            "during": (before + 15_000, before + max(lost, 30_000)),
+            "during": (before + 15_000, before + max(lost, last if self.told.fault == MINUTE else 30_000)),
             "back": (before + max(lost, last), before + max(lost, last) + back),
             "after": (before + max(lost, last) + back, before + max(lost, last) + back + after),
         }
@@ -281,7 +282,9 @@
         self.scheduler.at(self.scheduler.now + 1_000, self.sample)
         for step in list(self.watch):
             lines = [line for one in self.planners.values() for _, line in one.lines("stage=step")]
-            if len(lines) >= step.more or not self.planners:
+            # Without planners there are no steps: it dies about when it would have reached the second one.
+            alone = not self.planners and self.returns and self.scheduler.now >= self.returns[-1] + 2 * SECOND
+            if alone or (self.planners and len(lines) >= step.more):
                 self.watch.remove(step)
                 self.down(step.whom, "kill")
                 again = self.scheduler.now + 2 * SECOND
