--- a/birchslip/lab/peers.py
+++ b/birchslip/lab/peers.py
@@ -18,9 +18,9 @@
 from ..brain import Ring
 from ..net.buffer import Buffer, Unreadable
 from ..net.connection import Connection
-from ..net.scheduler import READ, Scheduler
+from ..net.scheduler import Scheduler
 from .truth import SECOND, Truth
-from .wires import listener
+from .wires import let_in, listener
 
 LINE = 65_536
 BOUND = 4 << 20
@@ -38,20 +38,12 @@
         self.listener = listener()
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.links: dict[Connection, None] = {}
-        scheduler.spawn(type(self).__name__, self.accept)
-
-    def accept(self) -> None:
-        while True:
-            self.scheduler.wait(self.listener.fileno(), READ)
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            link = Connection(self.scheduler, sock, BOUND, BOUND)
-            self.links[link] = None
-            self.scheduler.spawn("link", partial(self.keep, link))
+        scheduler.spawn(type(self).__name__, partial(let_in, scheduler, self.listener, self.take_in))
+
+    def take_in(self, sock: socket.socket) -> None:
+        link = Connection(self.scheduler, sock, BOUND, BOUND)
+        self.links[link] = None
+        self.scheduler.spawn("link", partial(self.keep, link))
 
     def keep(self, link: Connection) -> None:
         take = self.begin(link)
--- a/birchslip/lab/wires.py
+++ b/birchslip/lab/wires.py
@@ -36,6 +36,19 @@
     return sock
 
 
+def let_in(scheduler: Scheduler, door: socket.socket, take: Callable[[socket.socket], None]) -> None:
+    """The task of a listening socket: who comes is passed on."""
+    while True:
+        scheduler.wait(door.fileno(), READ)
+        try:
+            sock, _ = door.accept()
+        except OSError:
+            continue
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        take(sock)
+
+
 def free_port() -> int:
     """One that nobody listens on, below those that the system gives to links, and not given here before.
 
@@ -68,7 +81,7 @@
         self.port: int = self.listener.getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
         self.pairs: dict[tuple[Connection, Connection], bool] = {}  # whether bytes were lost on it
-        scheduler.spawn("wire", self.accept)
+        scheduler.spawn("wire", partial(let_in, scheduler, self.listener, self.take))
 
     def turn(self, mode: str, delay: int = 0) -> None:
         """Links on which something was lost can't go on: they break when the wire is whole again."""
@@ -82,18 +95,10 @@
         for pair in list(self.pairs):
             self.end(pair, "shaken")
 
-    def accept(self) -> None:
-        while True:
-            self.scheduler.wait(self.listener.fileno(), READ)
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                continue
-            if self.mode == "cut":
-                sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def take(self, sock: socket.socket) -> None:
+        if self.mode == "cut":
+            sock.close()
+        else:
             self.scheduler.spawn("wire", partial(self.begin, sock))
 
     def begin(self, sock: socket.socket) -> None:
@@ -131,6 +136,3 @@
             if side.open:
                 side.flush()
                 side.close(why)
-
-
-Act = Callable[[], None]
