Keep what a planner has seen of others' disks; tell quotas when they are asked for

Checked: lives were on its disk, kept numbers were not (vote.py, keep). A planner now notes what the leader that tells it a state must keep, and flushes what it has seen with every state. At fault: mind.wanted went over all members at each report, and the plan made a table of quotas for each member. Both are worked out once, or when told.

--- a/birchslip/fleet/mind.py
+++ b/birchslip/fleet/mind.py
@@ -70,6 +70,8 @@
         self.home = {member.name: site.name for site in fleet.sites for member in site.members}
         self.verdicts = dict.fromkeys(self.usual, Verdict.HERE)
         self.bases = fleet.bases()
+        self.away = 0.0  # leased parts of members of lost sites
+        self.beside: dict[str, int] = {}  # by site: members that are heard, as of the last look
         self.rooms: dict[str, float] = {}  # the last that was measured of each member
         self.permits = Permits(fleet.budgets())
         self.looked_at = now
@@ -239,6 +241,7 @@
         self.membership.every = self.every()
         self.measure(now)
         self.doubt = self.membership.doubtful(now)
+        self.beside = {site: len(self.membership.alive(site, now)) for site in self.comebacks}
         self.witnesses = (
             [one for site in self.comebacks for one in self.membership.alive(site, now)] if self.doubt else []
         )
@@ -322,6 +325,8 @@
         if number == self.number and number > self.kept_number:
             self.kept_number, self.told = number, self.made
             self.told_levels = {name: one.level for name, one in self.comebacks.items()}
+            gone = [name for name, site in self.home.items() if self.told_levels[site] <= 0]
+            self.away = sum(self.shares.own(name) for name in gone) if self.shares is not None else 0.0
 
     def tell(self, name: str) -> Tell:
         """The plan as this member is told it.
@@ -337,9 +342,9 @@
             plan=self.kept_number,
             span=span(self.fleet.plan_ms),
             fade=span(self.fleet.fade_ms),
-            quotas=self.told.quotas.get(name, {}) if away else {},
+            quotas=self.told.quotas_of(name) if away else {},
             visitors=visitors if level == 1 else [],
-            visits=self.told.visits.get(name, 0.0),
+            visits=self.told.visits_of(name),
             order=list(self.fleet.refuse) if away else [],
             level=level,
             listed=level > 0,
@@ -359,11 +364,11 @@
         visiting = self.told.visiting.get(member.site, 0.0)
         if levels.get(member.site, 1.0) <= 0:
             return 0.0
-        away = sum(self.shares.own(name) for name, site in self.home.items() if levels.get(site, 1.0) <= 0)
+        away = self.away
         taken = sum(amount for site, amount in self.told.visiting.items() if levels.get(site, 1.0) > 0)
         if not away or not taken or not visiting:
             return own
-        beside = max(1, sum(1 for one in self.membership.alive(member.site, now)))
+        beside = max(1, self.beside.get(member.site, 0))
         return own + away * visiting / taken / beside
 
     # ---- who may be out --------------------------------------------------------------------------------
--- a/birchslip/fleet/site_plan.py
+++ b/birchslip/fleet/site_plan.py
@@ -46,12 +46,24 @@
     flows: dict[tuple[str, str], float] = field(default_factory=dict)
     refused: dict[Refusal, float] = field(default_factory=dict)
     refused_at: dict[str, float] = field(default_factory=dict)  # by home site
-    level: dict[str, float] = field(default_factory=dict)  # by member: what it takes over its room
-    quotas: dict[str, dict[str, float]] = field(default_factory=dict)  # by member and tenant
-    visits: dict[str, float] = field(default_factory=dict)  # by member: of all visitors together
+    level: dict[str, float] = field(default_factory=dict)  # by site: what it takes over its room
+    quotas: dict[str, dict[str, float]] = field(default_factory=dict)  # by site and tenant
+    visits: dict[str, float] = field(default_factory=dict)  # by site: of all visitors together
+    parts: dict[str, tuple[str, float]] = field(
+        default_factory=dict
+    )  # by member: its site, its part of the room
     visiting: dict[str, float] = field(default_factory=dict)  # by site: visitors that it takes
     short: bool = False
 
+    def quotas_of(self, member: str) -> dict[str, float]:
+        """Worked out when it is told: for all members at each plan it would be most of the work."""
+        site, part = self.parts.get(member, ("", 0.0))
+        return {tenant: rate * part for tenant, rate in self.quotas.get(site, {}).items()}
+
+    def visits_of(self, member: str) -> float:
+        site, part = self.parts.get(member, ("", 0.0))
+        return self.visits.get(site, 0.0) * part
+
     def refused_in_all(self) -> float:
         return sum(self.refused.values())
 
@@ -199,12 +211,11 @@
     # What nobody asks for is there for whoever comes: a quota binds only where there is no room.
     over = max(0.0, place.room - taken)
     whole = sum(place.rooms.values())
+    made.level[place.name] = min(1.0, taken / place.room)
+    made.visits[place.name] = visiting + over
+    made.quotas[place.name] = {tenant: parts[tenant] + over * shares[tenant] for tenant in shares}
     for member, room in place.rooms.items():
-        made.level[member] = min(1.0, taken / place.room)
-        made.visits[member] = (visiting + over) * room / whole
-        made.quotas[member] = {
-            tenant: (parts[tenant] + over * shares[tenant]) * room / whole for tenant in shares
-        }
+        made.parts[member] = (place.name, room / whole)
 
 
 def what_if(
--- a/birchslip/fleet/vote.py
+++ b/birchslip/fleet/vote.py
@@ -150,6 +150,13 @@
             or (mine.epoch, mine.number) > max(self.forgone, (durable.state_epoch, durable.state_number))
         )
 
+    def note(self, name: str, epoch: int, number: int) -> None:
+        """Another has shown that it keeps this."""
+        seen = self.seen.get(name)
+        if seen is not None:
+            seen.promised = max(seen.promised, epoch)
+            seen.epoch, seen.number = max((seen.epoch, seen.number), (epoch, number))
+
     def shows(self, answer: Answer) -> Seen:
         return Seen(
             life=answer.incarnation.life,
@@ -216,6 +223,10 @@
             durable.state_epoch, durable.state_number = told.epoch, told.number
             durable.state = told.state
             durable.blank = False
+            self.note(told.name, told.epoch, told.number)
+            # It is flushed now anyway: what is known of the others survives with it, and may unmask an old
+            # disk.
+            durable.seen = msgspec.json.encode(self.seen).decode()
             self.dirty = True
         return Kept(kept=True, epoch=durable.promised, name=self.name)
 
@@ -320,7 +331,5 @@
             for old in [one for one in self.kept_by if one < number - KEPT_NUMBERS]:
                 del self.kept_by[old]
             self.kept_by.setdefault(number, set()).add(answer.name)
-            seen = self.seen.get(answer.name)
-            if seen is not None:
-                seen.epoch, seen.number = max((seen.epoch, seen.number), (self.epoch, number))
+            self.note(answer.name, self.epoch, number)
         return len(self.kept_by.get(number, ())) >= self.majority
--- a/birchslip/lab/rollouts.py
+++ b/birchslip/lab/rollouts.py
@@ -58,7 +58,7 @@
             *(Group(site, frozenset(names), most=1) for site, names in self.sites.items()),
             Group("fleet", whole, most=2),
         ]
-        plan = Plan(version="new", before="old", canaries=1, batch=2, watch_ms=6_000, watch_most_ms=60_000)
+        plan = Plan(version="new", before="old", canaries=1, batch=2, watch_ms=6_000)
         self.kept = msgspec.json.encode(Course(plan=plan, batches=batches_of(plan, self.sites)))
         self.book = msgspec.json.encode(Book())
         self.now = 0
--- a/tests/test_site_plan.py
+++ b/tests/test_site_plan.py
@@ -46,9 +46,9 @@
         assert left + made.refused_at[place.name] == pytest.approx(sum(place.load.values()), abs=1e-3)
         home = made.flows.get((place.name, place.name), 0.0)
         if place.room > 0:
-            quotas = sum(sum(made.quotas[name].values()) for name in place.rooms)
+            quotas = sum(sum(made.quotas_of(name).values()) for name in place.rooms)
             assert quotas == pytest.approx(place.room - (taken - home), abs=1e-3)
-            visits = sum(made.visits[name] for name in place.rooms)
+            visits = sum(made.visits_of(name) for name in place.rooms)
             assert visits == pytest.approx(place.room - home, abs=1e-3)
     assert made.short == (made.refused_in_all() > 1e-9)
     assert all(amount >= 0 for amount in made.flows.values())
@@ -117,7 +117,7 @@
 
 def test_no_home_tenant_within_its_share_is_under_it_while_a_visitor_is_served():
     made = plan(two({"blue": 90.0}, {"blue": 10.0, "green": 45.0}), {"blue": 0.5, "green": 0.5}, {})
-    green = sum(quotas["green"] for quotas in made.quotas.values())
+    green = sum(made.quotas_of(name)["green"] for name in ("b-0", "b-1"))
     assert green >= 45.0 and made.visiting["b"] == pytest.approx(45.0)
     assert made.refused == {Refusal.BEYOND: pytest.approx(45.0)}
 
