Let others keep the state of a leader whose disk is full

Need: a leader that could not flush its own copy told nobody, and went on holding its lease, so that nothing new was decided (planner.py, have_kept: the flush came before the peers were told). It is now none of its own keepers, and two others are still a majority. A vote that can't be flushed is not given, as before; both have a test.

--- a/birchslip/fleet/planner.py
+++ b/birchslip/fleet/planner.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -209,9 +210,11 @@
         self.keeping, self.next_keep = told.number, now + KEEP_AGAIN
         self.counters.count("keep.told")
         own = self.ballot.keep(told, now)
-        self.flush()
-        if self.ballot.kept(own, told.number):
-            self.mind.kept(told.number)
+        # A leader whose disk is full is none of its own keepers; the others may still be a majority.
+        with suppress(Unkept):
+            self.flush()
+            if self.ballot.kept(own, told.number):
+                self.mind.kept(told.number)
         for peer in self.peers:
             peer.put("keep", told)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from birchslip.fleet.planner import Planner
+from birchslip.fleet.records import Keep, Kept, encode
 from birchslip.fleet.store import Store, Unkept
 from birchslip.fleet.vote import Durable
 
+from .fleetdesk import fleet
+
 KEPT = Durable(3, 128, "p1", 77, 128, 4, b'{"sites":{}}', False, '{"p1":{"life":1,"mark":5}}')
 
 
@@ -80,3 +84,39 @@
     store.link.execute("pragma query_only = off")
     store.save(KEPT)
     store.close()
+
+
+def test_a_leader_whose_disk_is_full_is_no_keeper_of_its_own_state_and_others_may_be(tmp_path):
+    planner = Planner(fleet(tmp_path, planners=3), "p0", tmp_path / "p0")
+    told = []
+    for peer in planner.peers:
+        peer.put = lambda method, record: told.append((method, record))
+    ballot, mind = planner.ballot, planner.mind
+    ballot.durable.blank, ballot.epoch = False, 64
+    mind.reign, mind.number = 64, 1
+
+    def full(durable):
+        raise Unkept("no space left")
+
+    planner.store.save = full
+    planner.have_kept(planner.scheduler.now)
+    assert [method for method, _ in told] == ["keep", "keep"] and mind.kept_number == 0
+    for name, kept in (("p1", 0), ("p2", 1)):
+        assert mind.kept_number == 0  # one of three is no majority
+        keep = next(record for _, record in told if isinstance(record, Keep))
+        planner.heard(keep, encode(Kept(kept=True, epoch=64, name=name)), 0)
+        assert mind.kept_number == kept
+    planner.store.close()
+
+
+def test_a_planner_that_can_not_keep_its_vote_does_not_give_it(tmp_path):
+    planner = Planner(fleet(tmp_path, planners=3), "p0", tmp_path / "p0")
+    planner.ballot.dirty = True
+
+    def full(durable):
+        raise Unkept("no space left")
+
+    planner.store.save = full
+    with pytest.raises(Unkept):
+        planner.serve(None, "ask", encode(planner.ballot.question(128)))
+    planner.store.close()
