Keep a fault on the fleet's side away from the batch of decisions

Need: the companion was asked before each batch and at each transaction without a guard, so that a fault in it would have kept the decisions from every batch after it. A transaction is now passed on first, and both calls are guarded: the fault is logged and counted, the batch goes on. Without a companion nothing is different.

--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -125,8 +125,8 @@
         taken = self.take_in.admit
 
         def seen(passage: Passage) -> None:
-            companion.seen(passage)
             taken(passage)
+            self.scheduler.guard(lambda: companion.seen(passage), "companion")
 
         self.take_in.admit = seen
 
@@ -231,7 +231,8 @@
     def settle(self) -> None:
         """Once a pass."""
         if self.companion is not None:
-            self.companion.check()
+            # Whatever is wrong with the fleet's side, the batch goes on.
+            self.scheduler.guard(self.companion.check, "companion")
         self.admit.settle()
         if self.phase in (Phase.DRAINING, Phase.SHUT) and not self.clients.all and not self.admit.news:
             self.close()
--- a/tests/test_bond.py
+++ b/tests/test_bond.py
@@ -1,5 +1,6 @@
 """An app server's tie to its planners: what is told to the decisions, and what binds without a word."""
 
+import json
 import time
 
 import pytest
@@ -12,7 +13,10 @@
 from birchslip.interface import Below, Deployment, Kind, Profile, Refusal, Tenant
 from birchslip.net.counters import Counters
 from birchslip.net.log import Log
+from birchslip.net.program import Program
 from birchslip.net.scheduler import Scheduler
+from birchslip.net.site import read_site
+from examples.toy import CONFIGURATION
 
 from .fleetdesk import SECOND, fleet, report
 
@@ -138,3 +142,22 @@
 def test_a_record_that_can_not_be_is_refused_with_a_reason(raw):
     with pytest.raises(Malformed, match="Re"):
         decode(raw, type(report()) if b"name" in (raw if isinstance(raw, bytes) else b"") else Reply)
+
+
+def test_a_fault_on_the_fleets_side_costs_no_transaction_anything(tmp_path, monkeypatch):
+    path = tmp_path / "config.json"
+    told = json.loads(CONFIGURATION.read_text()) | {"listen": "127.0.0.1:0", "name": "a-0"}
+    path.write_text(json.dumps(told))
+    program = Program(read_site({"PROXY_CONFIG": str(path)}))
+    faults, taken, settled = [], [], []
+    program.scheduler.fault = lambda name, trouble: faults.append(name)
+    program.take_in.admit = taken.append
+    program.admit.settle = lambda: settled.append(True)
+
+    class Faulty:
+        seen = check = lambda *_: 1 / 0
+
+    program.accompany(Faulty())
+    program.take_in.admit("a passage")
+    program.settle()
+    assert taken == ["a passage"] and settled and faults == ["companion"] * 2
