End the planners of a test whose members did not come up

Seen: three planners of a test lived on after a run in which its place could not be made (the door's answers were broken just then): a fixture that fails is not torn down. The place now ends what it has started. Measured: both cases pass, and no process is left.

--- a/tests/test_permit_processes.py
+++ b/tests/test_permit_processes.py
@@ -77,7 +77,11 @@
         ]
         for member in self.members:
             member.start()
-        self.until(lambda: self.leader() and len(self.show()["members"]) == 4)
+        try:
+            self.until(lambda: self.leader() and len(self.show()["members"]) == 4)
+        except BaseException:
+            self.stop()  # or they would live on: a fixture that fails is not torn down
+            raise
 
     def start(self, name):
         words = ["planner", "--fleet", str(self.path), "--name", name, "--folder", str(self.folder / name)]
