Take out what nothing reads in the release, the membership and the lab

Found in a second reading of the whole change: two fields and an argument of Release that nothing read (what is kept is written at each look), a way to strike a member from the membership that only permits use, and two constants of the lab. No behaviour changes, no test loses an assertion.

--- a/birchslip/fleet/membership.py
+++ b/birchslip/fleet/membership.py
@@ -143,12 +143,6 @@
         if member is not None and by is not None and by.site != member.site and by.heard(now, self.every):
             member.knocks[witness] = (now, met)
 
-    def strike(self, name: str) -> None:
-        """Struck from the fleet by hand."""
-        member = self.members.pop(name, None)
-        if member is not None:
-            self.sites[member.site].pop(name, None)
-
     # ---- what it comes to ------------------------------------------------------------------------------
 
     def alive(self, site: str, now: int) -> list[Member]:
--- a/birchslip/fleet/release.py
+++ b/birchslip/fleet/release.py
@@ -130,11 +130,9 @@
 class Release:
     """The conductor's decisions on one course. `permits` are the fleet's."""
 
-    def __init__(self, course: Course, permits: Permits, now: int) -> None:
+    def __init__(self, course: Course, permits: Permits) -> None:
         self.course, self.permits = course, permits
         self.judgement: Judgement | None = None
-        self.changed = False
-        self.taken_over = now
 
     @property
     def plan(self) -> Plan:
@@ -150,7 +148,6 @@
         self.course.phase, self.course.why = phase.value, why[:400]
         self.course.history.append(f"{phase.value}: {why}"[:400])
         del self.course.history[:-HISTORY_MOST]
-        self.changed = True
         if phase is not Phase.RUNNING:
             self.judgement = None
 
@@ -227,10 +224,8 @@
             if not self.course.bad:
                 self.course.bad = True
                 self.halt(f"{name} does not start in {self.plan.version}")
-                self.changed = True
             return [Order("start", name, self.plan.before, number)]
         self.course.left_out.append(name)
-        self.changed = True
         self.halt(f"{name} starts in neither version: left out")
         return []
 
@@ -306,7 +301,6 @@
         self.judgement = None
         self.course.at += 1
         self.course.history.append(f"batch {self.course.at}: {why}"[:400])
-        self.changed = True
         if self.course.at >= len(self.course.batches):
             self.move(Phase.DONE, "every batch is released")
 
--- a/birchslip/lab/peers.py
+++ b/birchslip/lab/peers.py
@@ -24,7 +24,6 @@
 
 LINE = 65_536
 BOUND = 4 << 20
-KEPT = 4_000
 LISTED = 30_000  # a report stands for three seconds
 HANDSHAKE, READING = 200, 20  # 20 ms of a core for each new connection, 2 ms for each try that is read
 FRONT_MOST = 0.9  # of the cores that those may take
--- a/birchslip/lab/rollouts.py
+++ b/birchslip/lab/rollouts.py
@@ -75,7 +75,7 @@
         """A conductor takes over, with what was kept."""
         permits = Permits(self.groups)
         permits.take(self.book)
-        self.release = Release(msgspec.json.decode(self.kept, type=Course), permits, self.now)
+        self.release = Release(msgspec.json.decode(self.kept, type=Course), permits)
 
     # ---- the world -------------------------------------------------------------------------------------
 
--- a/birchslip/lab/wires.py
+++ b/birchslip/lab/wires.py
@@ -25,7 +25,6 @@
 PORTS = (10_000, 32_000)
 CHANCE = random.Random()  # several plays may run at a time: each draws its own ports
 guards: list[socket.socket] = []
-MODES = ("pass", "cut", "silent", "deaf", "mute", "late")
 
 
 def listener(port: int = 0) -> socket.socket:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -19,7 +19,7 @@
 
     def __init__(self, most=2, plan=PLAN):
         self.permits = Permits([Group("fleet", frozenset(NAMES), most=most)])
-        self.release = Release(Course(plan=plan, batches=batches_of(plan, SITES)), self.permits, 0)
+        self.release = Release(Course(plan=plan, batches=batches_of(plan, SITES)), self.permits)
         self.is_now = {name: Platform(Is.UP, "old") for name in NAMES}
         self.seen = {name: Seen(Incarnation(mark=1), 10.0) for name in NAMES}
         self.now = 0
