--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -131,7 +131,8 @@
         match message:
             case [Type.CALL, int(), str(method), list(params)] if self.highest < message[1] < 1 << 32:
                 at = self.highest = message[1]
-                if method == "ping":
+                # A class may be called like the check: a transaction has a body beside its fields.
+                if method == "ping" and len(params) < 2:
                     self.clients.counters.count("clients.pings")
                     self.send(pack([Type.REPLY, at, None, [self.clients.good, self.clients.health()]]))
                 elif len(self.open) >= OPEN_MOST:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -554,6 +554,20 @@
     assert place.process.wait(PATIENCE) == 0 and time.monotonic() - began < 5
 
 
+@pytest.mark.parametrize("name", ["ping", "abort", "closing", "render page", "post/entry", "pr\u00fcfen"])
+def test_a_class_may_be_called_anything_and_is_run_under_its_own_name(start, name):
+    """Guards against a class that is taken for a health check: its transactions were answered unrun."""
+    settings = json.loads(CONFIGURATION.read_text())["settings"]
+    settings["classes"][0]["name"] = name
+    place = start(settings=settings)
+    router = place.router()
+    assert router.answer(router.call(name, b"1")) == (None, [b"made of 1", {}])
+    assert router.answer(router.ping()) == (None, [True, {}])
+    assert place.order("launch")["class"] == name
+    seen = place.counters()
+    assert (seen["clients.pings"], seen["book.honoured"]) == (1, 1)
+
+
 def test_a_pause_loses_nothing(start):
     place = start()
     router = place.router()
