Let no opening that hangs hold a descriptor, a move or the catalog's entry

Cause, found by reading and forced in tests. `connect` could not be given up: a call given up after 80 ms left its opening behind for up to a second, with a descriptor each and beyond the bound on calls, as `Vault.make` counts calls that stand (lines `opened`, `unask`). `Agent.move` and `Vault.move` waited for the old address. `Catalog.report` opened to the address of before and kept that link when a move came between the opening and the look at it. Two openings that hung took 2.2 s of the three that the entry has, and a catalog that took over 500 ms to answer never heard the end of a report.

Reports are patient in steps: 300 ms to open twice, then a second; 500 ms for an answer, then 1.5 s; the pause after a missed one grows to half a second and is not the same for all.

--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -7,16 +7,24 @@
 
 from collections.abc import Callable
 from urllib.parse import quote
+from zlib import crc32
 
 from . import http
-from .connection import Connection, connect
+from .connection import Connection, Dial
 from .counters import Counters
 from .log import Log
 from .scheduler import Nap, Scheduler
 
-EVERY = 10_000  # a report a second: two may fail before the entry lapses
-LIMIT = 5_000  # a report that is not answered within half a second is missed
-AGAIN = 2_000  # after a report that was missed
+EVERY = 10_000  # a report a second; the entry lapses three seconds after the last one
+# How long a connection may take to open, and an answer to come: first short, since what hangs is tried again
+# at once, then long, for a catalog that is slow. Two hanging ones and a slow one fit before the entry lapses.
+DIALS = (3_000, 3_000, 10_000)
+ANSWERS = (5_000, 15_000)
+AGAIN, AGAIN_MOST = 1_000, 5_000  # before the next try after a missed one: 100 ms, later half a second
+
+
+def patient(limits: tuple[int, ...], missed: int) -> int:
+    return limits[min(missed, len(limits) - 1)]
 
 
 class Catalog:
@@ -32,7 +40,9 @@
         self.scheduler, self.counters, self.log = scheduler, counters, log
         self.good = good
         self.path = f"/catalog/register/{quote(name, safe='')}"
+        self.dial: Dial | None = None  # while a connection is being opened
         self.link: Connection | None = None
+        self.missed = 0  # since the last report that was answered
         self.nap = Nap(scheduler)
         self.hurried = False
         self.move(address)
@@ -41,6 +51,8 @@
         """Reports go there from the next one on."""
         self.address, self.host = address, f"{address[0]}:{address[1]}"
         self.drop()
+        if self.dial is not None:
+            self.dial.give_up()
 
     def keep_reporting(self) -> None:
         while True:
@@ -48,16 +60,21 @@
             try:
                 self.report()
                 self.counters.count("catalog.reports")
-                wait = EVERY
+                self.missed, wait = 0, EVERY
             except OSError as trouble:
                 self.counters.count("catalog.missed")
                 self.log.fault("report to the catalog missed", why=str(trouble))
                 self.drop()
-                wait = AGAIN
+                self.missed, wait = self.missed + 1, self.pause()
             if not self.hurried:
                 self.nap.sleep(max(self.scheduler.now + AGAIN, began + wait))
             self.hurried = False
 
+    def pause(self) -> int:
+        """Growing, and not the same for all: guards against a crowd at a catalog that comes back."""
+        usual = min(AGAIN_MOST, AGAIN * max(1, self.missed - 1))
+        return usual + crc32(f"{self.path} {self.missed}".encode()) % (usual // 2)
+
     def hurry(self) -> None:
         """What is reported has changed: routers need not learn of it a second later."""
         self.hurried = True
@@ -65,20 +82,31 @@
 
     def report(self) -> None:
         """One report and its answer; OSError says why it was missed."""
-        limit = self.scheduler.now + LIMIT
         if self.link is not None and self.hung_up(self.link):
             self.drop()
         if self.link is None:
-            self.link = Connection(self.scheduler, connect(self.scheduler, self.address), 131_072, 16_384)
+            self.link = self.opened()
         link = self.link
         state = b'{"status":"passing"}' if self.good() else b'{"status":"critical"}'
         answer = http.Answer()
+        limit = self.scheduler.now + patient(ANSWERS, self.missed)
         http.exchange(link, http.call("PUT", self.path, self.host, state), answer, limit)
         if answer.status != 204:
             raise OSError(f"answered {answer.status}")
         if not answer.keeps:
             self.drop()
 
+    def opened(self) -> Connection:
+        dial = self.dial = Dial(self.scheduler, self.address)
+        try:
+            sock = dial.open(patient(DIALS, self.missed))
+        finally:
+            self.dial = None
+        if dial.address != self.address:
+            sock.close()
+            raise OSError("moved")
+        return Connection(self.scheduler, sock, 131_072, 16_384)
+
     def hung_up(self, link: Connection) -> bool:
         """Whether the catalog has closed it between two reports, or has said what was not asked for."""
         link.read(lambda _: None)
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -186,21 +186,51 @@
             self.sock.close()
 
 
+class Dial:
+    """One connection that the calling task opens; another task may give it up, which frees it at once.
+
+    Guards against an address that takes no notice: each try at it holds a descriptor for as long as it lasts.
+    """
+
+    def __init__(self, scheduler: Scheduler, address: tuple[str, int]) -> None:
+        self.scheduler, self.address = scheduler, address
+        self.descriptor: int | None = None
+        self.given_up = False
+
+    def open(self, limit: int = CONNECT_LIMIT) -> socket.socket:
+        """A new connection, or OSError; only the calling task waits."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(self.address)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, os.strerror(code))
+            if code:
+                self.wait(sock, self.scheduler.now + limit)
+        except BaseException:
+            self.scheduler.forget(sock.fileno())
+            sock.close()
+            raise
+        return sock
+
+    def wait(self, sock: socket.socket, until: int) -> None:
+        self.descriptor = sock.fileno()
+        try:
+            events = self.scheduler.wait(self.descriptor, WRITE, until)
+        finally:
+            self.descriptor = None
+        if self.given_up:
+            raise OSError("given up")
+        trouble = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if trouble or not events:
+            raise OSError(trouble, os.strerror(trouble) if trouble else "no connection in time")
+
+    def give_up(self) -> None:
+        self.given_up = True
+        if self.descriptor is not None:
+            self.scheduler.wake(self.descriptor)
+
+
 def connect(scheduler: Scheduler, address: tuple[str, int]) -> socket.socket:
     """A new connection, or OSError; only the calling task waits."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex(address)
-        if code not in (0, errno.EINPROGRESS):
-            raise OSError(code, os.strerror(code))
-        if code:
-            events = scheduler.wait(sock.fileno(), WRITE, scheduler.now + CONNECT_LIMIT)
-            trouble = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if trouble or not events:
-                raise OSError(trouble, os.strerror(trouble) if trouble else "no connection in time")
-    except BaseException:
-        scheduler.forget(sock.fileno())
-        sock.close()
-        raise
-    return sock
+    return Dial(scheduler, address).open()
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -16,7 +16,7 @@
 
 from ..interface import MS, Outcome
 from .buffer import Buffer, Unreadable
-from .connection import Connection, connect
+from .connection import Connection, Dial
 from .counters import Counters
 from .log import Log
 from .passage import Passage
@@ -72,6 +72,7 @@
     ) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
         self.address, self.gauges, self.bound_out = address, gauges, bound_out
+        self.dial: Dial | None = None  # while a link is being opened
         self.link: Connection | None = None
         self.last = 0  # the number of the last notice read
         self.fences = 0
@@ -128,8 +129,9 @@
         wait = WAIT_FIRST
         while True:
             address = self.address
+            self.dial = Dial(self.scheduler, address)
             try:
-                link = Connection(self.scheduler, connect(self.scheduler, address), 2 * LINE, self.bound_out)
+                link = Connection(self.scheduler, self.dial.open(), 2 * LINE, self.bound_out)
             except OSError as trouble:
                 self.log.fault("the agent can't be reached", why=str(trouble))
                 if address == self.address:
@@ -158,6 +160,8 @@
             self.log.info("the agent has moved", last=self.last, runs=len(self.runs))
             if self.link is not None:
                 self.link.close("moved")
+            if self.dial is not None:
+                self.dial.give_up()
 
     def serve(self, link: Connection) -> str:
         self.link, self.settled = link, False
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -15,7 +15,7 @@
 
 from ..interface import Outcome
 from .buffer import Buffer, Unreadable
-from .connection import Connection, connect
+from .connection import Connection, Dial
 from .counters import Counters
 from .log import Log
 from .passage import Passage
@@ -56,6 +56,7 @@
 
     def __init__(self, passage: Passage, message: bytes) -> None:
         self.passage, self.message = passage, message
+        self.dial: Dial | None = None  # while its connection is being opened
         self.link: Connection | None = None
         self.head: tuple[str, bytes, int] | None = None  # of the reply whose body comes next
         self.strays = 0
@@ -118,6 +119,8 @@
     def unask(self, passage: Passage) -> None:
         """Give the call up: that its connection is closed says so."""
         asked = self.calls.pop(passage.name, None)
+        if asked is not None and asked.dial is not None:
+            asked.dial.give_up()
         if asked is not None and asked.link is not None:
             asked.link.close("given up")
 
@@ -125,6 +128,9 @@
         """New calls go there; those that are out may still end on the connections they have."""
         if address != self.address:
             self.address, self.wait, self.not_before = address, WAIT_FIRST, 0
+            for asked in self.calls.values():
+                if asked.dial is not None:
+                    asked.dial.give_up()  # it has not been sent: it may go to the new address
             while self.spare:
                 self.spare.pop()[1].close("moved")
 
@@ -185,7 +191,8 @@
         try:
             if address is None:
                 raise OSError("no address for it")
-            sock = connect(self.scheduler, address)
+            asked.dial = Dial(self.scheduler, address)
+            sock = asked.dial.open()
         except OSError as trouble:
             self.counters.count("vault.unreached")
             if address == self.address and self.not_before <= self.scheduler.now:
@@ -193,6 +200,8 @@
                 self.wait = min(2 * self.wait, WAIT_MOST)
             self.lost(asked, Outcome.UNREACHED, str(trouble))
             return None
+        finally:
+            asked.dial = None
         self.wait = WAIT_FIRST
         self.counters.count("vault.links")
         return Connection(self.scheduler, sock, LINE + REPLY + 4096, BOUND_OUT)
