Count a label's window by the later of two clocks, and 50 ms longer as on sockets

Cause, found by reading. The window of a run was counted from its stamp as cut to our clock (`take_in`, `Labels.claim`). Where the router's clock lies ahead, the protocol's window, counted from `ts` of the try that ran, ends later, and a repeat in between was run again.

`Passage.window_from` is the later of the two; `Labels` keeps an entry 50 ms longer and moves its end when a claim moves it. Sharing an outcome a moment too long breaks nothing, a second run does.

--- a/birchslip/keep/keeper.py
+++ b/birchslip/keep/keeper.py
@@ -228,7 +228,7 @@
         window = passage.transaction.profile.window
         digest = digest_of(passage.profile, passage.body)
         label = bytes.fromhex(passage.label_name)
-        return Entry(kind, label, passage.stamp, window, digest=digest, **more)  # type: ignore[arg-type]
+        return Entry(kind, label, passage.window_from, window, digest=digest, **more)  # type: ignore[arg-type]
 
     def once(self, raw: bytes, entry: Entry, then: Callable[[bool], None], passage: Passage | None) -> None:
         """Waits for the flush, and no longer than a stall: what is said then stays said."""
--- a/birchslip/net/labels.py
+++ b/birchslip/net/labels.py
@@ -10,9 +10,11 @@
 import heapq
 from collections.abc import Callable
 
-from ..interface import Outcome
+from ..interface import MS, Outcome
 from .passage import Conclusion, Label, Passage
 
+SLACK = 50 * MS  # by which the protocol's limits of time are longer on sockets
+
 
 class Labels:
     def __init__(self, longest_wait: int) -> None:
@@ -33,9 +35,12 @@
         self.purge(now)
         entry = self.standing(passage.label_name, passage.stamp)
         if entry is None:
-            entry = self.table[passage.label_name] = Label(passage.label_name, passage, until)
-        entry.holder, entry.until = passage, max(until, entry.until)
+            entry = self.table[passage.label_name] = Label(passage.label_name, passage, until + SLACK)
+        entry.holder, entry.until = passage, max(until + SLACK, entry.until)
         passage.label = entry
+        self.keep(entry)
+
+    def keep(self, entry: Label) -> None:
         self.serial += 1
         heapq.heappush(self.ends, (entry.until + self.longest_wait, self.serial, entry))
 
@@ -57,7 +62,11 @@
         if entry is None or (entry.ran is not None and entry.ran is not passage):
             return False
         entry.ran = passage
-        entry.until = max(entry.until, passage.stamp + passage.transaction.profile.window)
+        until = passage.window_from + passage.transaction.profile.window + SLACK
+        if until > entry.until:
+            # Its clock lies ahead of ours: it is kept for longer than was thought when it was remembered.
+            entry.until = until
+            self.keep(entry)
         return True
 
     def attach(self, passage: Passage) -> Conclusion | None:
--- a/birchslip/net/passage.py
+++ b/birchslip/net/passage.py
@@ -47,7 +47,7 @@
     profile: str
     body: bytes
     transaction: Transaction
-    stamp: int  # when it came to the machine, as told: a label's window is counted by it
+    stamp: int  # when it came to the machine, as told, and never ahead of our clock
     label_name: str = ""
     label: Label | None = None
     answered: bool = False
@@ -60,6 +60,12 @@
     call_timer: Timer | None = None  # set while the call is out
     # the last order to the agent that no notice has answered yet: given again if the link is lost meanwhile
     order: bytes = b""
+    told_stamp: int = 0  # as told, also where it lies ahead of our clock
+
+    @property
+    def window_from(self) -> int:
+        """From when on its label's window is counted: by the later of two clocks, which is the safe one."""
+        return max(self.stamp, self.told_stamp)
 
 
 @dataclass(eq=False, slots=True)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -80,7 +80,9 @@
             tenant=self.tenant(told.tenant),
             again=told.again,
         )
-        return Passage(client, number, told.name, told.profile, told.body, transaction, stamp, told.label)
+        passage = Passage(client, number, told.name, told.profile, told.body, transaction, stamp, told.label)
+        passage.told_stamp = told.stamp
+        return passage
 
     def tenant(self, name: str) -> Tenant | None:
         if not self.tenants:
