Refuse settings that could break a rule when passed over, and name them

A `downstream` of an unknown word was taken for none, and calls then went out by the crowd's bound instead of a share; negative limits, windows and shares went through; a keyed class without a window got none; two classes of one name became one; a class called `-` ended the start; a tenant of over 64 characters had all its requests failed; an address with a name in it was looked up at each dial, with all else waiting; `limits` of a wrong form was passed over; fewer than 21 sockets left no room for a router.

What a rule hangs on is refused with its key in one line; else the default errs on the safe side (a window as long as the deadline, cold where that is unclear, abandoned calls counted over the whole span). What is told of a share counts where the vault is shared alone. Fields may have 256 characters; a caller that does not say how long it waits is bounded by its class.

A row of the wrong starts used `x:1` as an address to reach the next fault; that address is a fault itself now and has its own row, the other has a right one.

--- a/birchslip/deployment.py
+++ b/birchslip/deployment.py
@@ -6,14 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from math import ceil, floor
+from typing import TypeVar
 
 from .interface import SECOND, Below, Deployment, Halt, Kind, Profile, Tenant
 
 KINDS = {"repeatable": Kind.REDOABLE, "by_key": Kind.LABELLED, "once": Kind.IRREVERSIBLE}
 HALTS = {"off": Halt.OFF, "drop": Halt.DROP, "pause": Halt.PAUSE}
+Word = TypeVar("Word")
 BELOW = {"off": Below.OFF, "shared": Below.SHARED, "tier": Below.TIER}
 
 
@@ -64,8 +66,24 @@
         value = self.values.get(name, "-")
         return default if absent(value) else number(value, name)
 
-    def flag(self, name: str) -> bool:
-        return self.text(name, "false") in ("true", "1")
+    def least(self, name: str, default: float, least: float = 0.0) -> float:
+        """One that a rule hangs on: a value that can't be meant is not passed over."""
+        value = self.real(name, default)
+        if value < least:
+            raise Malformed(f"{name} is under {least:g}: {self.text(name, '')[:40]!r}")
+        return value
+
+    def known(self, name: str, words: Mapping[str, Word], default: str) -> Word:
+        """One of some words, where another could break a rule."""
+        word = self.text(name, default)
+        if word not in words:
+            raise Malformed(f"{name} is unknown: {word[:40]!r}")
+        return words[word]
+
+    def flag(self, name: str, unclear: bool = False) -> bool:
+        """`unclear` is what a value means that is neither."""
+        text = self.text(name, "false")
+        return text in ("true", "1") or (unclear and text not in ("false", "0"))
 
     def count(self, name: str) -> int:
         return int(self.real(f"{name}.count", 0))
@@ -75,8 +93,8 @@
         return values[place] if place < len(values) and not absent(values[place]) else default
 
     def names(self, name: str) -> list[str]:
-        """The names of a list of objects, in the order of their places."""
-        return [self.text(f"{name}.{place}.name", "") for place in range(self.count(name))]
+        """The names of a list of objects, in the order of their places; any text is one."""
+        return [self.values.get(f"{name}.{place}.name", "") for place in range(self.count(name))]
 
 
 def flatten(settings: object, path: str = "") -> Iterable[tuple[str, str]]:
@@ -104,17 +122,17 @@
     profiles = []
     for place in range(told.count("classes")):
         name = f"classes.{place}"
-        effect = told.text(f"{name}.effect", "once")
-        if effect not in KINDS:
-            raise Malformed(f"{name}.effect is unknown: {effect[:40]!r}")
-        outer = told.real(f"{name}.hard_limit_s", 1.0)
+        kind = told.known(f"{name}.effect", KINDS, "once")
+        outer = told.least(f"{name}.hard_limit_s", 1.0, 0.001)
+        # Where no window is told, a label's repeat may come for as long as its caller waits.
+        window = told.least(f"{name}.window_s", outer) if kind is Kind.LABELLED else 0.0
         profiles.append(
             Profile(
-                kind=KINDS[effect],
+                kind=kind,
                 goal=early(told.real(f"{name}.aim_s", outer)),
                 outer=early(outer),
                 late_payoff=told.real(f"{name}.late_worth", 0.0),
-                window=late(told.real(f"{name}.window_s", 0.0)),
+                window=late(window),
                 payoff=told.real(f"{name}.credit", 1.0),
                 skip_payoff=number(
                     told.listed("family_info.class_skip_worth", place, "0"), "family_info.class_skip_worth"
@@ -122,29 +140,35 @@
             )
         )
     tenants = [
-        Tenant(told.real(f"tenants.{place}.quota_per_s", 0.0)) for place in range(told.count("tenants"))
+        Tenant(max(0.0, told.real(f"tenants.{place}.quota_per_s", 0.0)))
+        for place in range(told.count("tenants"))
     ]
     usual = Deployment(profiles)
     longest = told.real("ceilings.max_retry_after_s", 0.0)
+    below = told.known("family_info.downstream", BELOW, "off")
+    shared = below is Below.SHARED  # elsewhere what is told of a share means nothing
+    share = told.least("family_info.calls_out", usual.calls_share) if shared else usual.calls_share
+    usual_span = usual.calls_span / SECOND
+    span = told.least("family_info.share_span_s", usual_span, 0.001) if shared else usual_span
     return replace(
         usual,
         seed=seed,
         tenants=tenants,
-        cores=max(1, int(told.real("family_info.cores", usual.cores))),
-        memory=floor(told.real("family_info.mem_limit_kb", usual.memory / 1024) * 1024),
-        run_factor=told.real("family_info.run_factor", usual.run_factor),
-        key_size=ceil(told.real("family_info.key_kb", 0.0) * 1024),
-        halt=HALTS.get(told.text("family_info.halt", "off"), Halt.OFF),
-        fleet=max(1, int(told.real("group_size", usual.fleet))),
-        cold=told.flag("family_info.cold"),
-        cold_from=told.real("contract.cold_from", usual.cold_from),
-        cold_span=late(told.real("contract.cold_s", 0.0)),
-        crowd_multiple=told.real("contract.fall_multiple", usual.crowd_multiple),
-        grace=early(told.real("contract.drain_grace_s", 0.0)),
-        below=BELOW.get(told.text("family_info.downstream", "off"), Below.OFF),
-        calls_share=told.real("family_info.calls_out", usual.calls_share),
-        calls_span=early(told.real("family_info.share_span_s", usual.calls_span / SECOND)),
-        linger=late(told.real("family_info.linger_s", 0.0)),
+        cores=max(1, int(told.least("family_info.cores", usual.cores))),
+        memory=floor(told.least("family_info.mem_limit_kb", usual.memory / 1024) * 1024),
+        run_factor=told.least("family_info.run_factor", usual.run_factor),
+        key_size=ceil(told.least("family_info.key_kb", 0.0) * 1024),
+        halt=HALTS.get(told.text("family_info.halt", "off"), Halt.OFF),  # what is unknown is not used
+        fleet=max(1, int(told.least("group_size", usual.fleet))),
+        cold=told.flag("family_info.cold", unclear=True),
+        cold_from=told.least("contract.cold_from", 0.0),
+        cold_span=late(told.least("contract.cold_s", 0.0)),
+        crowd_multiple=told.least("contract.fall_multiple", usual.crowd_multiple, 1.0),
+        grace=early(told.least("contract.drain_grace_s", 0.0)),
+        below=below,
+        calls_share=share,
+        calls_span=early(span),
+        linger=late(told.least("family_info.linger_s", span if shared else 0.0)),
         advises=told.flag("ceilings.retry_after") and longest > 0,
         longest_advice=early(longest),
     )
--- a/birchslip/net/bounds.py
+++ b/birchslip/net/bounds.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 
 PEERS_KEEP = 16  # descriptors kept for the agent, the catalog, the log and the signals
+CALLS_LEAST = 4
+SOCKETS_LEAST = PEERS_KEEP + CALLS_LEAST + 1  # with fewer no router could be let in
 CALLS_SHARE = 8  # of the descriptors, one in so many is for calls
 CONNECTION = 12_288  # bytes that a connection takes with all that belongs to it
 UNREAD_LEAST, UNREAD_MOST = 8_192, 32_768  # a whole message of a router fits twice into the least
@@ -30,7 +32,7 @@
 def bounds(memory: int, taken: int, descriptors: int) -> Bounds:
     """`taken` is what the program takes by itself, before any peer has come."""
     room = max(ROOM_LEAST, memory - taken)
-    calls = max(4, min(descriptors // CALLS_SHARE, room // 4 // CALL))
+    calls = max(CALLS_LEAST, min(descriptors // CALLS_SHARE, room // 4 // CALL))
     share = room * 3 // 8
     connections = max(1, min(descriptors - calls - PEERS_KEEP, share // (CONNECTION + UNREAD_LEAST)))
     unread = max(UNREAD_LEAST, min(UNREAD_MOST, share // connections - CONNECTION))
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -31,6 +31,7 @@
 NAME, LABEL = re.compile("[0-9a-f]{16}"), re.compile("[0-9a-f]{32}")
 WHOLE, DECIMAL, MARK = re.compile("[0-9]{1,18}"), re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?"), re.compile("1")
 BODY = 2048  # the largest body
+FIELD = 256  # characters of a field: a tenant may have a long name
 NEED = 2000  # KB: a transaction books less
 LONGEST_WAIT = 3_600_000  # ms: no client waits for an hour
 OPEN_MOST = 32  # open transactions on one connection
@@ -100,8 +101,8 @@
         case _:
             raise Malformed(f"not fields and a body of at most {BODY} bytes")
     for field, value in fields.items():
-        if not isinstance(field, str) or not isinstance(value, str) or len(value) > 64:
-            raise Malformed("a field that is not text of at most 64 characters")
+        if not isinstance(field, str) or not isinstance(value, str) or len(value) > FIELD:
+            raise Malformed(f"a field that is not text of at most {FIELD} characters")
     ranged(fields, "level", DECIMAL, 0, 1)
     need = ranged(fields, "need", DECIMAL, 0, NEED)
     if not need:
@@ -113,7 +114,9 @@
         profile=profile,
         body=body,
         stamp=int(ranged(fields, "ts", WHOLE, 0, 1 << 50)) * MS,
-        wait=int(ranged(fields, "timeout", WHOLE, 1, LONGEST_WAIT)) * MS,
+        # Where callers don't say how long they wait, the settings bound it.
+        wait=int(ranged(fields, "timeout", WHOLE, 1, LONGEST_WAIT) if "timeout" in fields else LONGEST_WAIT)
+        * MS,
         caller=int(matched(fields, "via", WHOLE)),
         tenant=fields.get("owner", ""),
         size=ceil(need * 1024),
--- a/birchslip/net/site.py
+++ b/birchslip/net/site.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from typing import Any
 
 from ..deployment import Malformed, Setup, deployment, flatten
 from ..interface import MS, Deployment
+from .bounds import SOCKETS_LEAST
 
 Address = tuple[str, int]
 MOVING = ("agent", "catalog", "vault", "stop")  # what a running program takes over
@@ -54,17 +56,21 @@
 
 def site_of(told: dict[str, Any], environment: Mapping[str, str]) -> Site:
     """What a configuration says, once it is read."""
+    for part in ("settings", "limits"):
+        if not isinstance(told.get(part, {}), dict):
+            raise Malformed(f"{part} is not an object")
     try:
         setup = Setup(flatten(told.get("settings", {})))
     except RecursionError:
         raise Malformed("settings are nested too deeply") from None
     limits = told.get("limits", {})
-    limits = limits if isinstance(limits, dict) else {}
     sockets, memory = limits.get("sockets", 1024), limits.get("memory_mb", 192)
     stop = told.get("stop_ms", 3000)
     for what, value in (("limits.sockets", sockets), ("limits.memory_mb", memory), ("stop_ms", stop)):
-        if not isinstance(value, int | float) or not 1 <= value < 1e9:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < 1e9:
             raise Malformed(f"{what} is not a number above 0: {value!r}")
+    if sockets < SOCKETS_LEAST:
+        raise Malformed(f"limits.sockets is under {SOCKETS_LEAST}: {sockets!r}")
     site = Site(
         name=environment.get("PROXY_NAME") or text(told, "name"),
         listen=address(environment.get("PROXY_LISTEN") or text(told, "listen"), "listen", lowest=0),
@@ -81,6 +87,10 @@
     )
     if not all(site.profiles) or not site.profiles:
         raise Malformed("settings.classes has no names")
+    for what, names in (("classes", site.profiles), ("tenants", site.tenants)):
+        twice = next((name for place, name in enumerate(names) if name in names[:place]), None)
+        if twice is not None:
+            raise Malformed(f"settings.{what} names one twice: {twice[:40]!r}")
     return site
 
 
@@ -103,4 +113,9 @@
     host, colon, port = value.rpartition(":")
     if not colon or not host or not port.isdecimal() or not lowest <= int(port) < 65536:
         raise Malformed(f"{what} is not HOST:PORT: {value[:60]!r}")
+    try:
+        # A name would be looked up each time it is dialled, and all else would wait for that.
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        raise Malformed(f"{what} is not an IPv4 address and a port: {value[:60]!r}") from None
     return host, int(port)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -629,7 +629,14 @@
         ("[]", "holds no object"),
         ('{"listen": "nowhere"}', "name is absent"),
         ('{"name": "a", "listen": "nowhere"}', "listen is not HOST:PORT"),
-        ('{"name": "a", "listen": "127.0.0.1:1", "agent": "x:1", "directory": "x:1"}', "classes"),
+        (
+            '{"name": "a", "listen": "127.0.0.1:1", "agent": "x:1", "directory": "x:1"}',
+            "agent is not an IPv4",
+        ),
+        (
+            '{"name": "a", "listen": "127.0.0.1:1", "agent": "127.0.0.1:1", "directory": "127.0.0.1:1"}',
+            "classes",
+        ),
         ('{"name": "a", "listen": "127.0.0.1:1", "agent": "x:1", "stop_ms": "soon"}', "stop_ms"),
     ],
 )
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,142 @@
+"""Settings of other customers: absent, at their bounds, of unknown values; a wrong start names the key."""
+
+import copy
+import json
+
+import pytest
+
+from birchslip.deployment import Malformed, Setup, deployment, flatten
+from birchslip.interface import SECOND, Below, Halt, Kind
+from birchslip.net.bounds import SOCKETS_LEAST
+from birchslip.net.clients import FIELD, LONGEST_WAIT, read_told
+from birchslip.net.site import site_of
+from examples.toy import CONFIGURATION
+
+TOLD = json.loads(CONFIGURATION.read_text())
+
+
+def changed(path, value, told=TOLD):
+    """The example's configuration with one value another, or with none where that is `...`."""
+    told = copy.deepcopy(told)
+    *way, last = path.split(".")
+    part = told
+    for step in way:
+        part = part[int(step)] if step.isdigit() else part[step]
+    if value is ...:
+        part.pop(last, None)
+    else:
+        part[last] = value
+    return told
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        ("settings.classes.0.effect", "sometimes", "classes.0.effect is unknown: 'sometimes'"),
+        ("settings.classes.0.hard_limit_s", 0, "classes.0.hard_limit_s"),
+        ("settings.classes.0.hard_limit_s", -3, "classes.0.hard_limit_s"),
+        ("settings.classes.0.hard_limit_s", "soon", "classes.0.hard_limit_s is not a number"),
+        ("settings.classes.0.hard_limit_s", float("inf"), "classes.0.hard_limit_s is out of range"),
+        ("settings.classes.0.hard_limit_s", float("nan"), "classes.0.hard_limit_s is out of range"),
+        ("settings.classes.1.window_s", -1, "classes.1.window_s"),
+        ("settings.classes.1.name", "lookup", "classes names one twice: 'lookup'"),
+        ("settings.classes.1.name", "", "classes has no names"),
+        ("settings.classes.1.name", ..., "classes has no names"),
+        ("settings.classes", [], "classes has no names"),
+        ("settings.classes", ..., "classes has no names"),
+        ("settings.tenants.1.name", "blue", "tenants names one twice: 'blue'"),
+        ("settings.contract.fall_multiple", 0.5, "contract.fall_multiple"),
+        ("settings.contract.drain_grace_s", -1, "contract.drain_grace_s"),
+        ("settings.contract.cold_s", -1, "contract.cold_s"),
+        ("settings.family_info.downstream", "sideways", "family_info.downstream is unknown: 'sideways'"),
+        ("settings.family_info.mem_limit_kb", -5, "family_info.mem_limit_kb"),
+        ("settings.family_info.mem_limit_kb", "lots", "family_info.mem_limit_kb"),
+        ("settings.family_info.run_factor", -1, "family_info.run_factor"),
+        ("settings.family_info.key_kb", -1, "family_info.key_kb"),
+        ("settings.family_info.calls_out", -1, "family_info.calls_out"),
+        ("settings.family_info.share_span_s", 0, "family_info.share_span_s"),
+        ("settings.family_info.linger_s", -1, "family_info.linger_s"),
+        ("settings.family_info.cores", -2, "family_info.cores"),
+        ("settings", [], "settings is not an object"),
+        ("settings", "none", "settings is not an object"),
+        ("limits", 7, "limits is not an object"),
+        ("limits.sockets", True, "limits.sockets"),
+        ("limits.sockets", SOCKETS_LEAST - 1, "limits.sockets is under"),
+        ("limits.memory_mb", "much", "limits.memory_mb"),
+        ("stop_ms", 0, "stop_ms"),
+        ("stop_ms", None, "stop_ms"),
+        ("agent", "a-name:9300", "agent is not an IPv4 address"),
+        ("directory", "localhost:7946", "directory is not an IPv4 address"),
+        ("vault", "[::1]:9042", "vault is not an IPv4 address"),
+        ("vault", 9042, "vault is absent or not a text"),
+        ("listen", "127.1:65", "listen is not an IPv4 address"),
+        ("listen", "127.0.0.1:70000", "listen is not HOST:PORT"),
+        ("agent", ..., "agent is absent"),
+        ("seed", "zz", "seed is not hexadecimal"),
+    ],
+)
+def test_a_value_that_could_break_a_rule_ends_the_start_and_is_named(path, value, named):
+    with pytest.raises(Malformed) as trouble:
+        site_of(changed(path, value), {})
+    assert named in str(trouble.value) and "\n" not in str(trouble.value)
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "read"),
+    [
+        ("settings.family_info.halt", "softly", lambda d: d.halt is Halt.OFF),  # not used where not known
+        ("settings.family_info.halt", ..., lambda d: d.halt is Halt.OFF),
+        ("settings.family_info.halt", "pause", lambda d: d.halt is Halt.PAUSE),
+        ("settings.family_info.downstream", ..., lambda d: d.below is Below.OFF),
+        ("settings.family_info.linger_s", ..., lambda d: d.linger == d.calls_span),  # as long as the span
+        ("settings.family_info.cold", "perhaps", lambda d: d.cold),
+        ("settings.family_info.cold", ..., lambda d: not d.cold),
+        ("settings.contract.cold_from", ..., lambda d: d.cold_from == 0),
+        ("settings.contract.drain_grace_s", ..., lambda d: d.grace == 0),
+        ("settings.classes.0.effect", ..., lambda d: d.profiles[0].kind is Kind.IRREVERSIBLE),
+        ("settings.classes.1.window_s", ..., lambda d: d.profiles[1].window == 4 * SECOND),  # the deadline
+        ("settings.classes.1.window_s", 0, lambda d: d.profiles[1].window == 0),
+        ("settings.classes.0.aim_s", ..., lambda d: d.profiles[0].goal == d.profiles[0].outer),
+        ("settings.classes.0.name", "-", lambda d: len(d.profiles) == 2),
+        ("settings.classes.0.name", "a, b/c \u00fc", lambda d: len(d.profiles) == 2),
+        ("settings.family_info.class_skip_worth", ..., lambda d: not d.profiles[0].skip_payoff),
+        ("settings.family_info.class_skip_worth", [0.5], lambda d: not d.profiles[1].skip_payoff),
+        ("settings.tenants", ..., lambda d: d.tenants == []),
+        ("settings.tenants", [], lambda d: d.tenants == []),
+        ("settings.tenants.0.quota_per_s", -1, lambda d: d.tenants[0].quota == 0),  # none is told
+        ("settings.ceilings.retry_after", "maybe", lambda d: not d.advises),
+        ("settings.family_info.cores", 0.5, lambda d: d.cores == 1),
+        ("settings.group_size", 0, lambda d: d.fleet == 1),
+        ("settings.family_info", {"downstream": "tier", "share_span_s": 0, "calls_out": -1}, lambda d: True),
+        ("settings.classes.0.window_s", -1, lambda d: d.profiles[0].window == 0),  # of no labelled class
+        ("settings.new_key", {"deep": [{"er": 1}]}, lambda d: d.cores == 2),  # further keys are ignored
+    ],
+)
+def test_what_is_absent_or_harmless_errs_on_the_safe_side(path, value, read):
+    assert read(site_of(changed(path, value), {}).deployment)
+
+
+def test_a_setting_on_the_simulators_wire_is_held_to_the_same():
+    pairs = [*flatten(TOLD["settings"]), ("family_info.downstream", "sideways")]
+    with pytest.raises(Malformed):
+        deployment(1, Setup(pairs))
+
+
+FIELDS = {
+    "req": "0" * 16,
+    "ts": "1",
+    "via": "1",
+    "owner": "o" * 100,
+    "timeout": "5",
+    "need": "1",
+    "level": "0",
+}
+
+
+def test_a_long_tenant_and_a_caller_that_does_not_say_how_long_it_waits_are_read():
+    told = read_told("lookup", [FIELDS, b""])
+    assert told.tenant == "o" * 100 and told.wait == 50
+    del FIELDS["timeout"]
+    assert read_told("lookup", [FIELDS, b""]).wait == LONGEST_WAIT * 10
+    with pytest.raises(Malformed):
+        read_told("lookup", [FIELDS | {"owner": "o" * (FIELD + 1)}, b""])
