End with code 0 whenever a signal comes, and load no console library at a start

Of the imports of a start two fifths were rich, which structlog's console writer loads wherever it is installed (import times: structlog 156 ms of 274, of these structlog.dev with rich 106).

`run` leaves all four signals ignored at its end; SIGUSR1 is ignored until the program listens. rich is hidden from structlog.

Tests: a signal sent by the C library's last exit handler; SIGTERM and SIGUSR1 fail before (codes -15 and -10), all pass now; a start that loads nothing of the operators' libraries fails before and passes now.

--- a/birchslip/__main__.py
+++ b/birchslip/__main__.py
@@ -45,8 +45,9 @@
         from .cli import main as command
 
         return command()
-    # Until the program listens for it: there is nothing to read again yet.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Until the program listens for them: there is nothing to read again, and nothing to tell, yet.
+    for number in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(number, signal.SIG_IGN)
     try:
         site = read_site(os.environ)
         program = Program(site)
--- a/birchslip/net/log.py
+++ b/birchslip/net/log.py
@@ -4,14 +4,23 @@
 
 import os
 import select
+import sys
 import traceback
 from collections import deque
+from importlib import import_module
 from typing import Any
 
-import structlog
-
 from .scheduler import WRITE, Scheduler
 
+# structlog's console writer, not used here, loads rich wherever it is installed: two fifths of all imports
+# of a start. It goes without where it finds none.
+HIDDEN = "rich" not in sys.modules
+if HIDDEN:
+    sys.modules["rich"] = None  # type: ignore[assignment]
+structlog = import_module("structlog")
+if HIDDEN:
+    del sys.modules["rich"]
+
 LINE = 2048  # well under what a pipe takes whole
 KEPT = 256  # lines; more are dropped and counted
 TRACE = 1500  # characters of a trace
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -40,6 +40,7 @@
 LAST_WAIT = 10_000  # routers are waited for a second, where there is the time
 SHUT_AHEAD = 3_000  # and routers hear it 300 ms before, however long the grace
 AGAIN = 1_000  # a task that had a fault begins again after 100 ms
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Phase(Enum):
@@ -185,7 +186,8 @@
         try:
             self.scheduler.run()
         finally:
-            signal.signal(signal.SIGHUP, signal.SIG_IGN)  # its default would end what is ending already
+            for number in SIGNALS:  # their defaults would end what is ending already, with a code above 0
+                signal.signal(number, signal.SIG_IGN)
             if self.keeper is not None:
                 self.keeper.finish()
             self.report()
@@ -277,7 +279,7 @@
         self.signals.setblocking(False)
         self.wakeup.setblocking(False)
         signal.set_wakeup_fd(self.wakeup.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
+        for number in SIGNALS:
             signal.signal(number, lambda *_: None)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,7 +24,7 @@
 class Place:
     """One program among toy peers; the program's log is read as it comes."""
 
-    def __init__(self, folder, vault_up=True, greets=True, **more):
+    def __init__(self, folder, vault_up=True, greets=True, words=("-m", "birchslip"), **more):
         self.agent, self.vault, self.catalog = Agent(greets=greets), Vault(), Catalog()
         if not vault_up:
             self.vault.stop()
@@ -34,7 +34,7 @@
         self.path, self.told = folder / "config.json", told
         self.path.write_text(json.dumps(told))
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "birchslip"],
+            [sys.executable, *words],
             cwd=ROOT,
             env=os.environ | {"PROXY_CONFIG": str(folder / "config.json")},
             stderr=subprocess.PIPE,
@@ -610,6 +610,34 @@
     assert place.process.wait(PATIENCE) == 0
 
 
+LATE = """
+import ctypes, os, signal, sys
+import birchslip.__main__ as main
+
+os.setsid()
+libc = ctypes.CDLL(None)
+# As the last thing, when the interpreter is gone: kill(the exit code, which is 0 for its own group, signal).
+libc.on_exit(libc.kill, ctypes.c_void_p(int(signal.{})))
+sys.exit(main.main())
+"""
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGHUP", "SIGUSR1"])
+def test_a_notice_that_comes_after_the_end_does_not_look_like_a_crash(start, number):
+    place = start(words=("-c", LATE.format(number)))
+    place.process.send_signal(signal.SIGTERM)
+    assert place.process.wait(PATIENCE) == 0
+
+
+def test_a_start_loads_nothing_that_only_operators_use():
+    said = "import birchslip.__main__, sys; print(*sorted(n for n in sys.modules if n.split('.')[0] in {}))"
+    names = {"rich", "click", "msgspec", "z3", "lark", "xxhash"}
+    done = subprocess.run(
+        [sys.executable, "-c", said.format(names)], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.returncode == 0 and done.stdout.strip() == ""
+
+
 def test_checks_are_answered_before_the_agent_greets(start):
     place = start(greets=False)
     router = place.router()
