Open the agent's link anew when nothing is heard on it; take no figure that is none

Cause, found by reading and forced in tests. A link on which the agent stops half way stood for ever: its readers wait for the rest, orders go out, and every transaction is written off at its end. `"ms":1e999` is read as infinity, whose conversion raises OverflowError, which `take` did not count among what can't be read: the task of the link ended by a fault. A run that asked for a call again while one was out got a second one beside it, whose time-out was the first one's (`Relay.wanted`, `Vault.ask`).

After 40 gauges asked for (two seconds of ticks) with nothing heard, what lies unread is read, and the link is opened anew if that is nothing; counted by what was asked, so that a pause is none. Figures are finite. A second call gives up the first. Spoilt answers of the catalog are counted.

--- a/birchslip/net/catalog.py
+++ b/birchslip/net/catalog.py
@@ -63,6 +63,7 @@
                 self.missed, wait = 0, EVERY
             except OSError as trouble:
                 self.counters.count("catalog.missed")
+                self.counters.count("catalog.malformed", self.link is not None and self.link.malformed)
                 self.log.fault("report to the catalog missed", why=str(trouble))
                 self.drop()
                 self.missed, wait = self.missed + 1, self.pause()
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -13,9 +13,9 @@
     "send.launched send.stopped send.honoured send.erred send.recalled send.moot send.refused "
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
-    "agent.links agent.lost agent.declined agent.asides agent.malformed agent.samples "
+    "agent.links agent.lost agent.silent agent.declined agent.asides agent.malformed agent.samples "
     "vault.links vault.unreached vault.lost vault.malformed vault.strays "
-    "catalog.reports catalog.missed "
+    "catalog.reports catalog.missed catalog.malformed "
     "program.reloads program.not_reloaded"
 ).split()
 
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -12,6 +12,7 @@
 from binascii import a2b_base64
 from collections.abc import Callable
 from functools import partial
+from math import isfinite
 from typing import Any
 
 from ..interface import MS, Outcome
@@ -24,6 +25,9 @@
 
 LINE = 65_536
 WAIT_FIRST, WAIT_MOST = 200, 10_000  # before the next try at the link: 20 ms at first, a second at most
+SILENT = (
+    40  # gauges asked for, each on a tick, and nothing heard at all: the link is dead, whatever it looks like
+)
 STALE = 5_000  # gauges older than half a second say nothing
 RESTART = 20_000  # an agent that began two seconds later than it had said has been started anew
 STARTS = {"fresh": True, "seasoned": False}  # whether it is cold
@@ -42,8 +46,15 @@
     return ENCODE(parts).encode() + b"\n"
 
 
+def figure(told: Any) -> float:
+    value = float(told)
+    if not isfinite(value):
+        raise ValueError(f"a figure of {value}")
+    return value
+
+
 def span(milliseconds: Any) -> int:
-    return int(float(milliseconds) * MS)
+    return int(figure(milliseconds) * MS)
 
 
 def whole(told: dict[str, Any]) -> int:
@@ -76,6 +87,7 @@
         self.link: Connection | None = None
         self.last = 0  # the number of the last notice read
         self.fences = 0
+        self.unheard = 0  # gauges asked for since anything was heard
         self.settled = False  # whether what was missed has been told on this link
         self.gap = False
         self.began: int | None = None
@@ -115,6 +127,20 @@
         passage.order = self.order(op="forgo", id=passage.name, seq=passage.need)
 
     def sample(self) -> None:
+        """Ask for the gauges; a link on which nothing at all is heard is opened anew.
+
+        Guards against one that stands and is dead: half a line and then nothing, a peer that has gone without
+        a word. Counted by what was asked and not by the clock, which runs on while this process is paused.
+        """
+        link = self.link
+        if link is None or self.began is None:
+            return
+        self.unheard += 1
+        if self.unheard > SILENT:
+            link.read(lambda buffer: self.take(link, buffer))  # it may lie unread
+        if self.unheard > SILENT and link.open:
+            self.counters.count("agent.silent")
+            link.close("nothing is heard on it")
         self.order(op="sample", tag="tick")
 
     def cores_used(self) -> float | None:
@@ -164,7 +190,7 @@
                 self.dial.give_up()
 
     def serve(self, link: Connection) -> str:
-        self.link, self.settled = link, False
+        self.link, self.settled, self.unheard = link, False, 0
         self.counters.count("agent.links")
         link.write(line_of(op="subscribe", seq=self.last))
         try:
@@ -174,9 +200,10 @@
 
     def take(self, link: Connection, buffer: Buffer) -> None:
         while link.open and (line := buffer.line(LINE)) is not None:
+            self.unheard = 0
             try:
                 act = self.read(line)
-            except (ValueError, TypeError, KeyError, RecursionError) as trouble:
+            except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as trouble:
                 raise Unreadable(f"{type(trouble).__name__}: {trouble}") from None
             act()
 
@@ -187,7 +214,7 @@
             case "greeting":
                 return partial(self.greeting, STARTS[told["end"]], span(told["ms"]))
             case "sampled":
-                return partial(self.sampled, str(told["tag"]), [float(value) for value in told["values"]])
+                return partial(self.sampled, str(told["tag"]), [figure(value) for value in told["values"]])
             case "refusal":
                 return partial(self.declined, str(told.get("end"))[:40], str(told.get("id"))[:40])
             case "aside":
--- a/birchslip/net/stages/relay.py
+++ b/birchslip/net/stages/relay.py
@@ -23,6 +23,7 @@
 
     def wanted(self, passage: Passage, notice: int, body: bytes) -> None:
         self.counters.count("relay.wanted")
+        self.drop(passage)  # one that is out is none that the run waits for any more
         passage.need, passage.need_body = notice, body
         self.admit.hear(passage, NeedsCall())
 
--- a/birchslip/net/vault.py
+++ b/birchslip/net/vault.py
@@ -112,6 +112,8 @@
         self.ended: Callable[[Passage, Outcome, bytes], None]
 
     def ask(self, passage: Passage, milliseconds: int, body: bytes) -> None:
+        """A second call for the same run gives up the first, as the vault sees it too."""
+        self.unask(passage)
         message = b"ask %b %d %d\r\n%b\r\n" % (passage.name.encode(), milliseconds, len(body), body)
         asked = self.calls[passage.name] = Asked(passage, message)
         self.scheduler.spawn("vault", partial(self.make, asked))
--- a/tests/hall.py
+++ b/tests/hall.py
@@ -1,4 +1,6 @@
-"""A whole program on a real listener, moved on pass by pass: what happens between two lines is the test's."""
+"""A whole program on a real listener, or one peer's side of it at a real address, moved on pass by pass: what
+happens between two lines is the test's.
+"""
 
 import fcntl
 import json
@@ -6,9 +8,14 @@
 import select
 import socket
 import termios
+from contextlib import suppress
 
+from birchslip.interface import MS
 from birchslip.lab.toy import Router
+from birchslip.net.counters import Counters
+from birchslip.net.log import Log
 from birchslip.net.program import Program
+from birchslip.net.scheduler import Scheduler
 from birchslip.net.site import site_of
 from examples.toy import CONFIGURATION
 
@@ -98,3 +105,86 @@
             peer.link.close()
         for end in (self.program.signals, self.program.wakeup):
             end.close()
+
+
+class There:
+    """A listening address; deaf, it answers no opening, as its queue is full."""
+
+    def __init__(self, deaf=False):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0 if deaf else 8)
+        self.address = self.listener.getsockname()
+        self.links, self.fillers = [], []
+        while deaf:
+            filler = socket.socket()
+            filler.setblocking(False)
+            self.fillers.append(filler)
+            deaf = filler.connect_ex(self.address) in (0, 115) and len(self.fillers) < 4
+        self.listener.setblocking(False)
+
+    def said(self):
+        """All that has been said here so far."""
+        with suppress(BlockingIOError):
+            while True:
+                link, _ = self.listener.accept()
+                link.setblocking(False)
+                self.links.append((link, bytearray()))
+        for link, said in self.links:
+            with suppress(BlockingIOError):
+                said += link.recv(65536)
+        return b"".join(bytes(said) for _, said in self.links)
+
+    def say(self, raw):
+        for link, _ in self.links:
+            link.sendall(raw)
+            arrived(link)
+
+    def close(self):
+        for one in (self.listener, *self.fillers, *(link for link, _ in self.links)):
+            one.close()
+
+
+class Clocked:
+    """A scheduler whose time the test moves on."""
+
+    def __init__(self):
+        self.time = 10_000_000
+        self.scheduler = Scheduler(lambda: None, self.fault, lambda: self.time)
+        self.parts = self.scheduler, Counters(), Log(self.scheduler, "t")
+        self.places = []
+
+    def fault(self, name, trouble):
+        raise trouble
+
+    def there(self, **how):
+        self.places.append(There(**how))
+        return self.places[-1]
+
+    def passes(self, ms=0, count=4):
+        self.time += ms * MS
+        for _ in range(count):
+            self.scheduler.again = True
+            self.scheduler.one_pass()
+
+    def hears(self, place, part):
+        """Whether that is said there, at this very time."""
+        for _ in range(100):
+            if part in place.said():
+                return True
+            self.passes()
+            links = [place.listener, *(link for link, _ in place.links)]
+            select.select(links, [], [], PATIENCE / 100)
+        return False
+
+    def until(self, happened, most):
+        """How many ms went by until then, looked at every 10 of them."""
+        for ms in range(0, most, 10):
+            if happened():
+                return ms
+            self.passes(ms=10)
+        return most
+
+    def close(self):
+        for place in self.places:
+            place.close()
