Hold descriptors, floods and the orders of a shutdown by tests of their own

Need: places of the stricter acceptance that were read and found in order want a test that shows it. Tests: a crowd of 192 silent connections at a told limit of 64 descriptors, with the catalog down from the start and going down later: the agent's new link, eight calls to the vault and eight routers get theirs, no more than 64 are open, the catalog is found again. A flood of half messages, pings, calls beyond 32, a peer that reads nothing and rubbish at 64 MB. SIGTERM in the pass of an answer and twice, with SIGHUP in one go, and with less time than the grace.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -283,3 +283,32 @@
     words = [router.answer(call)[0][0] for call in calls]
     assert sorted(words) == ["Failed"] * started + ["Overloaded"] * (6 - started)
     assert len(hall.launched()) == started
+
+
+def test_a_notice_to_leave_in_the_pass_of_an_answer_takes_nothing_from_it(begin):
+    hall = begin()
+    router = hall.router()
+    call = router.call("lookup", b"1")
+    hall.passes()
+    hall.program.leave()
+    hall.end(hall.launched()[0], Outcome.HONOURED)
+    hall.program.leave()  # and at once the second
+    hall.passes()
+    assert router.answer(call) == (None, [b"made", {}])
+
+
+def test_a_time_to_stop_that_is_shorter_than_the_grace_leaves_nothing_unanswered(begin):
+    hall = begin(stop_ms=500)
+    router = hall.router()
+    running = router.call("order", b"1", opkey=KEY)
+    hall.passes()
+    held = router.call("lookup", b"1", need="900")
+    hall.program.leave()
+    hall.passes(ms=150)
+    within = router.call("lookup", b"1", need="900")
+    for _ in range(50):
+        if hall.program.phase is not Phase.ENDED:
+            hall.passes(ms=10)
+    words = [router.answer(call)[0][0] for call in (running, held, within)]
+    assert words[0] == "Failed" and set(words[1:]) <= {"Overloaded", "Failed"}
+    assert hall.program.phase is Phase.ENDED and hall.time - hall.program.stops_at < 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -24,10 +25,14 @@
 class Place:
     """One program among toy peers; the program's log is read as it comes."""
 
-    def __init__(self, folder, vault_up=True, greets=True, words=("-m", "birchslip"), **more):
+    def __init__(
+        self, folder, vault_up=True, greets=True, catalog_up=True, words=("-m", "birchslip"), **more
+    ):
         self.agent, self.vault, self.catalog = Agent(greets=greets), Vault(), Catalog()
         if not vault_up:
             self.vault.stop()
+        if not catalog_up:
+            self.catalog.stop()
         told = json.loads(CONFIGURATION.read_text())
         told |= {"listen": "127.0.0.1:0", "agent": self.agent.address, "vault": self.vault.address}
         told |= {"directory": self.catalog.address, **more}
@@ -80,6 +85,10 @@
     def router(self):
         return Router(self.address, PATIENCE)
 
+    def router_address(self):
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
     def order(self, op):
         """The next order of this kind that the agent gets."""
         until = time.monotonic() + PATIENCE  # gauges are asked for all the time: each is an order too
@@ -544,6 +553,83 @@
     assert (seen["clients.connections_most"], seen["clients.made_room"]) == (3, 2)
 
 
+@pytest.mark.parametrize("down", ["from the start", "later"])
+def test_a_crowd_that_says_nothing_leaves_descriptors_for_peers_and_routers(start, down):
+    """The catalog is down, and more connections come than the told limit of sockets has room for."""
+    most = 64
+    place = start(limits={"sockets": most}, catalog_up=down == "later")
+    if down == "later":
+        place.catalog.seen.get(timeout=PATIENCE)
+        place.catalog.stop()
+    place.line("report to the catalog missed")
+    crowd = [socket.create_connection(place.router_address(), PATIENCE) for _ in range(3 * most)]
+    held, names = [], os.listdir(f"/proc/{place.process.pid}/fd")
+    assert len(names) <= most
+    with place.agent.lock:
+        place.agent.drop()  # it has to open another link
+    place.order("subscribe")
+    for number in range(8):  # a router with a transaction gets in, and its call gets a connection
+        router = place.router()
+        held.append(router)
+        key = f"{number}" * 32
+        assert router.answer(router.call("order", b"1 call", opkey=key)) == (
+            None,
+            [b"made of 1 call and paid", {}],
+        )
+        assert len(os.listdir(f"/proc/{place.process.pid}/fd")) <= most
+    place.catalog.listen(place.catalog.host, place.catalog.port)
+    assert place.catalog.seen.get(timeout=PATIENCE)[1] == {"status": "passing"}
+    seen = place.counters()
+    assert seen["clients.turned_away"] == 0 and seen["clients.made_room"] > 0 and len(crowd) == 3 * most
+
+
+def test_honest_routers_are_served_through_a_flood(start):
+    """Half messages, pings, calls beyond 32, and one that reads nothing, all at full speed."""
+    place = start(limits={"sockets": 256, "memory_mb": 64})
+    host = place.router_address()
+    stop = threading.Event()
+
+    def flood(raw, reads):
+        while not stop.is_set():
+            try:
+                with socket.create_connection(host, PATIENCE) as link:
+                    link.settimeout(0.2)
+                    for _ in range(200):
+                        link.sendall(raw)
+                        if reads and not link.recv(65536):
+                            break
+                        if stop.is_set():
+                            return
+            except OSError:
+                pass  # cut off, or not read any more: again
+
+    pings = b"".join(pack([0, number, "ping", [{}]]) for number in range(1, 400))
+    fields = {"ts": str(time.time_ns() // 1_000_000), "via": "9", "owner": "green", "timeout": "3000"}
+    calls = b"".join(
+        pack([0, at, "lookup", [fields | {"req": f"{at:016x}", "need": "1", "level": "0.1"}, b"hold"]])
+        for at in range(1, 200)
+    )
+    kinds = [(pings[:7], False), (pings, True), (calls, True), (pings, False), (b"\xc1", True)]
+    threads = [threading.Thread(target=flood, args=kind, daemon=True) for kind in kinds]
+    for thread in threads:
+        thread.start()
+    try:
+        for _ in range(5):
+            router = place.router()
+            assert router.answer(router.ping())[0] is None
+            error, _ = router.answer(router.call("lookup", b"1", timeout="5000"))
+            router.link.close()
+            assert error is None or error[0] == "Overloaded"
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join(PATIENCE)
+    assert place.process.poll() is None
+    seen = place.counters()
+    assert seen["process.memory_kb_most"] < 64 << 10
+    assert seen["book.faults"] == seen.get("program.faults", 0) == 0
+
+
 def test_what_still_runs_at_the_end_is_written_off_before_it(start):
     place = start(stop_ms=800)
     router = place.router()
@@ -595,6 +681,25 @@
     assert place.counters()["admit.repeats"] == 0
 
 
+def test_a_notice_to_leave_and_one_to_read_again_in_one_go_are_both_heeded(start):
+    place = start()
+    router = place.router()
+    held = router.call("lookup", b"hold")
+    name = place.order("launch")["id"]
+    place.process.send_signal(signal.SIGSTOP)
+    place.agent.move()
+    place.reload()
+    place.process.send_signal(signal.SIGTERM)
+    place.process.send_signal(signal.SIGCONT)
+    place.line("now=draining")
+    while place.order("subscribe")["seq"]:
+        pass
+    place.agent.end(name)
+    assert router.answer(held)[0] is None
+    router.link.close()
+    assert place.process.wait(PATIENCE) == 0
+
+
 @pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGINT])
 def test_a_second_notice_ends_it_at_once_and_leaves_nothing_unanswered(start, second):
     place = start(stop_ms=60_000)
