Call the outer limit of a request class its deadline

Operators' keys and the wire are as they were. No behaviour changes; brain.py does not use the word.

--- a/birchslip/adapter/host.py
+++ b/birchslip/adapter/host.py
@@ -90,7 +90,7 @@
             profile,
             caller=0 if absent(parts[10]) else whole(parts[10], "who"),
             arrived=arrived,
-            due=max(now, due or arrived + profile.outer),
+            due=max(now, due or arrived + profile.deadline),
             size=0 if absent(parts[7]) else -int(-number(parts[7], "kb") * 1024 // 1),
             work=0 if absent(parts[6]) else late(number(parts[6], "work_s")),
             tenant=tenants[tenant] if tenants else None,
--- a/birchslip/deployment.py
+++ b/birchslip/deployment.py
@@ -123,14 +123,14 @@
     for place in range(told.count("classes")):
         name = f"classes.{place}"
         kind = told.known(f"{name}.effect", KINDS, "once")
-        outer = told.least(f"{name}.hard_limit_s", 1.0, 0.001)
+        deadline = told.least(f"{name}.hard_limit_s", 1.0, 0.001)
         # Where no window is told, a label's repeat may come for as long as its caller waits.
-        window = told.least(f"{name}.window_s", outer) if kind is Kind.LABELLED else 0.0
+        window = told.least(f"{name}.window_s", deadline) if kind is Kind.LABELLED else 0.0
         profiles.append(
             Profile(
                 kind=kind,
-                goal=early(told.real(f"{name}.aim_s", outer)),
-                outer=early(outer),
+                goal=early(told.real(f"{name}.aim_s", deadline)),
+                deadline=early(deadline),
                 late_payoff=told.real(f"{name}.late_worth", 0.0),
                 window=late(window),
                 payoff=told.real(f"{name}.credit", 1.0),
--- a/birchslip/expect/consistency.py
+++ b/birchslip/expect/consistency.py
@@ -67,12 +67,12 @@
 
 def spans_of_profiles(look: Look) -> Iterator[Conflict]:
     for name, profile in zip(look.setting.profiles, look.setting.deployment.profiles, strict=True):
-        aim, outer = look.config(f"classes[{name}].aim_s"), look.config(f"classes[{name}].hard_limit_s")
-        if profile.goal > profile.outer:
-            yield Conflict((aim, outer), "its callers give up before its latency goal")
-        if profile.kind is Kind.LABELLED and profile.window < profile.outer:
+        aim, deadline = look.config(f"classes[{name}].aim_s"), look.config(f"classes[{name}].hard_limit_s")
+        if profile.goal > profile.deadline:
+            yield Conflict((aim, deadline), "its callers give up before its latency goal")
+        if profile.kind is Kind.LABELLED and profile.window < profile.deadline:
             window = look.config(f"classes[{name}].window_s")
-            yield Conflict((window, outer), "its label is forgotten while its callers may still try again")
+            yield Conflict((window, deadline), "its label is forgotten while its callers may still try again")
         if profile.kind is not Kind.REDOABLE and profile.skip_payoff > 0:
             worth = look.config("family_info.class_skip_worth")
             yield Conflict((worth, look.config(f"classes[{name}].effect")), "an effect is not had in part")
@@ -103,7 +103,7 @@
 
 def advice(look: Look) -> Iterator[Conflict]:
     deployment = look.setting.deployment
-    shortest = min(profile.outer for profile in deployment.profiles)
+    shortest = min(profile.deadline for profile in deployment.profiles)
     if deployment.advises and deployment.longest_advice > shortest:
         places = (look.config("ceilings.max_retry_after_s"), look.config("classes"))
         yield Conflict(places, f"callers give up after {shortest / SECOND:g} s, and are told to come later")
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -45,7 +45,7 @@
 
     kind: Kind
     goal: int
-    outer: int
+    deadline: int
     late_payoff: float = 0.0
     window: int = 0
     skip_payoff: float = 0.0
--- a/birchslip/keep/keeper.py
+++ b/birchslip/keep/keeper.py
@@ -57,7 +57,7 @@
     ) -> None:
         self.scheduler, self.counters, self.log = scheduler, counters, log
         self.longest = max([profile.window for profile in profiles], default=0)
-        linger = max([profile.outer for profile in profiles], default=0)
+        linger = max([profile.deadline for profile in profiles], default=0)
         self.ledger = Ledger(told.entries, told.bytes, linger)
         self.disk = Disk(told.stall_ms * 10)
         self.files = Files(Path(told.folder), name, system)
--- a/birchslip/lab/clients.py
+++ b/birchslip/lab/clients.py
@@ -38,9 +38,9 @@
     """A kind of transaction: its work, spans and payoff."""
 
     def __init__(
-        self, name: str, share: float, work: int, goal: int, outer: int, payoff: float, label: bool
+        self, name: str, share: float, work: int, goal: int, deadline: int, payoff: float, label: bool
     ) -> None:
-        self.name, self.share, self.work, self.goal, self.outer = name, share, work, goal, outer
+        self.name, self.share, self.work, self.goal, self.deadline = name, share, work, goal, deadline
         self.payoff, self.label = payoff, label
 
 
@@ -179,7 +179,7 @@
 
     def send(self, deed: Deed, profile: Profile, body: bytes, same: Server | None) -> None:
         now = self.scheduler.now
-        if deed.ended or deed.honoured_at or now >= deed.born + profile.outer - 500:
+        if deed.ended or deed.honoured_at or now >= deed.born + profile.deadline - 500:
             deed.ended = True
             return
         server = same or self.pick({one.server for one in deed.tries})
@@ -224,7 +224,7 @@
 
     def write(self, deed: Deed, profile: Profile, body: bytes, link: Link) -> None:
         now = self.scheduler.now
-        patience = min(profile.outer, deed.born + profile.outer - now)
+        patience = min(profile.deadline, deed.born + profile.deadline - now)
         one = Try(link.server.name, link.life, now, now + patience, bool(deed.tries))
         deed.tries.append(one)
         if not link.server.up:
@@ -278,7 +278,7 @@
         if not link.server.up or link.life != link.server.life or not link.connection.open:
             one.excused = "down"
         link.connection.write(pack([2, "abort", [number]]))
-        deed.ended = deed.ended or self.scheduler.now >= deed.born + self.profile_of[deed][0].outer
+        deed.ended = deed.ended or self.scheduler.now >= deed.born + self.profile_of[deed][0].deadline
 
     def again(
         self, deed: Deed, profile: Profile, body: bytes, same: Server | None, soon: bool = False
--- a/birchslip/lab/kept_play.py
+++ b/birchslip/lab/kept_play.py
@@ -256,7 +256,7 @@
             "ts": str(now // 10),
             "via": "1",
             "owner": asked.tenant,
-            "timeout": str(ORDER.outer // 10),
+            "timeout": str(ORDER.deadline // 10),
             "need": "10",
             "level": "0.5",
             "opkey": asked.label,
@@ -314,7 +314,7 @@
         self.cpu = self.member.usage()[0]
         if not self.all_over():
             self.faults.append("it did not come to its end in time")
-        self.scheduler.sleep(self.scheduler.now + 2 * ORDER.outer)
+        self.scheduler.sleep(self.scheduler.now + 2 * ORDER.deadline)
         self.finished = True
         self.scheduler.sleep(self.scheduler.now + SECOND)
 
@@ -362,7 +362,7 @@
         unanswered = [
             one
             for one in self.tally.tries
-            if not one.answered and not one.excused and now - one.at > ORDER.outer + SECOND // 2
+            if not one.answered and not one.excused and now - one.at > ORDER.deadline + SECOND // 2
         ]
         unknown = [one for one in self.asked if one.unknown]
         honoured = [one for one in self.asked if one.result is not None]
--- a/birchslip/lab/model/routers.py
+++ b/birchslip/lab/model/routers.py
@@ -24,7 +24,7 @@
 NOWHERE = 3_000  # how long a transaction waits for any app server to be listed
 GIVE_UP = 1_500  # past its time, before it is aborted
 MANY, DRAWS = 32, 8  # app servers from which on a choice is drawn, and how often
-SILENT = 500  # left of the outer limit when no further try is worth making
+SILENT = 500  # left before the deadline when no further try is worth making
 
 
 @dataclass(eq=False, slots=True)
@@ -204,7 +204,7 @@
 
     def send(self, deed: Deed) -> None:
         now = self.clock.now
-        if deed.ended or deed.honoured_at >= 0 or now >= deed.born + deed.profile.outer - SILENT:
+        if deed.ended or deed.honoured_at >= 0 or now >= deed.born + deed.profile.deadline - SILENT:
             deed.ended = True
             return
         server = self.pick(deed.been)
@@ -222,7 +222,7 @@
         if not self.link(server):
             self.again(deed)
             return
-        patience = deed.born + deed.profile.outer - now
+        patience = deed.born + deed.profile.deadline - now
         one = Try(deed, self.number, now, now + patience, deed.tries > 0, server, server.life)
         deed.tries += 1
         deed.open += 1
--- a/birchslip/lab/world.py
+++ b/birchslip/lab/world.py
@@ -181,7 +181,7 @@
                     "name": one.name,
                     "effect": "by_key" if one.label else "repeatable",
                     "aim_s": one.goal / SECOND,
-                    "hard_limit_s": one.outer / SECOND,
+                    "hard_limit_s": one.deadline / SECOND,
                     "window_s": self.window / SECOND,
                     "credit": one.payoff,
                 }
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -111,7 +111,7 @@
         self.vault = Vault(scheduler, counters, log, site.vault, self.bounds.calls)
         self.catalog = Catalog(scheduler, counters, log, site.catalog, site.name, self.passing)
         # stages
-        self.labels = Labels(max(profile.outer for profile in site.deployment.profiles))
+        self.labels = Labels(max(profile.deadline for profile in site.deployment.profiles))
         self.take_in = TakeIn(scheduler, counters, log, site.deployment, site.profiles, site.tenants)
         self.admit = Admit(scheduler, counters, self.labels)
         self.book = Book(counters, log, self.labels, self.admit)
--- a/birchslip/net/stages/take_in.py
+++ b/birchslip/net/stages/take_in.py
@@ -69,8 +69,8 @@
         if abs(told.stamp - now) > STRAY:
             raise Malformed("it came at a time that can't be")
         stamp = min(told.stamp, now)
-        arrived = max(now - profile.outer, stamp)
-        due = max(now, arrived + min(told.wait, profile.outer))
+        arrived = max(now - profile.deadline, stamp)
+        due = max(now, arrived + min(told.wait, profile.deadline))
         transaction = Transaction(
             profile,
             caller=told.caller,
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -13,8 +13,8 @@
 HONOURED = Ended(Outcome.HONOURED)
 
 
-def profile(kind=Kind.REDOABLE, goal=1000, outer=4000, **more):
-    return Profile(kind, goal * MS, outer * MS, **more)
+def profile(kind=Kind.REDOABLE, goal=1000, deadline=4000, **more):
+    return Profile(kind, goal * MS, deadline * MS, **more)
 
 
 class Desk:
@@ -51,7 +51,7 @@
     def read(self, ms, which=0, caller=0, wait=None, size=1000, **more):
         """A transaction that reached the machine at `ms`; `wait` is how long its caller waits."""
         kind = self.profiles[which]
-        due = ms * MS + (kind.outer if wait is None else wait * MS)
+        due = ms * MS + (kind.deadline if wait is None else wait * MS)
         return Transaction(kind, caller, ms * MS, due, size, **more)
 
     def wishes(self, tx):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -77,7 +77,7 @@
     ],
 )
 def test_behind_others_it_is_tried_at_what_slow_ones_like_it_take(busy, left, wishes):
-    desk = Desk(profile(goal=5000, outer=5000), cores=1)
+    desk = Desk(profile(goal=5000, deadline=5000), cores=1)
     for took in (100, 100, 100, 500, 500):
         tx = desk.read(desk.now // MS)
         desk.at(desk.now // MS, tx).at(desk.now // MS + took, (tx, HONOURED))
@@ -101,7 +101,7 @@
 
 @pytest.mark.parametrize(("held_for", "cpu", "limit"), [(1400, 0.5, 2), (1600, 0.5, 3), (1600, 0.95, 2)])
 def test_the_limit_rises_only_when_full_for_the_whole_look_back(held_for, cpu, limit):
-    desk = Desk(profile(goal=30_000, outer=60_000))
+    desk = Desk(profile(goal=30_000, deadline=60_000))
     desk.at(0, *[desk.read(0) for _ in range(5)], cpu=cpu)
     for ms in range(50, held_for + 1, 50):
         desk.at(ms, cpu=cpu)
@@ -119,7 +119,7 @@
 
 @pytest.mark.parametrize(("cpu", "crowd", "most"), [(1.0, 8.0, 3), (1.0, 1.5, 2), (0.5, 8.0, 10)])
 def test_what_has_begun_is_bounded_for_it_may_all_come_back(cpu, crowd, most):
-    desk = Desk(profile(goal=20_000, outer=30_000), below=Below.SHARED, crowd_multiple=crowd).warm(cpu=cpu)
+    desk = Desk(profile(goal=20_000, deadline=30_000), below=Below.SHARED, crowd_multiple=crowd).warm(cpu=cpu)
     for ms in range(12_000, 12_500, 10):
         tx = desk.read(ms)
         desk.at(ms, tx).at(ms + 5, (tx, NeedsCall()))
@@ -127,7 +127,7 @@
 
 
 def test_one_long_run_of_known_cost_does_not_make_health_bad():
-    desk = Desk(profile(goal=30_000, outer=60_000)).warm(took=100)
+    desk = Desk(profile(goal=30_000, deadline=60_000)).warm(took=100)
     desk.brain.runs[desk.profiles[0]].usual = 1.0
     desk.at(12_000, desk.read(12_000, work=4000 * MS))
     for ms in range(12_050, 15_900, 50):
@@ -212,7 +212,7 @@
 
 
 def test_the_recent_time_of_calls_forgets_a_slow_spell():
-    desk = Desk(profile(goal=9000, outer=9000), below=Below.SHARED, calls_share=9.0)
+    desk = Desk(profile(goal=9000, deadline=9000), below=Below.SHARED, calls_share=9.0)
     for start, end in ((0, 2000), (4500, 4600)):
         tx = desk.read(start, wait=9000)
         desk.at(start, tx).at(start, (tx, NeedsCall())).at(end, (tx, CallEnded(Outcome.HONOURED)), cpu=0.1)
@@ -245,7 +245,7 @@
 # a gap after the one call; the rate that follows 300 ms
 @pytest.mark.parametrize(("share", "took", "early", "due"), [(0.5, 1000, 1900, 2000), (3.0, 300, 1030, 1060)])
 def test_calls_are_paced_by_their_recent_time(share, took, early, due):
-    desk = Desk(profile(goal=9000, outer=9000), cores=4, below=Below.SHARED, calls_share=share)
+    desk = Desk(profile(goal=9000, deadline=9000), cores=4, below=Below.SHARED, calls_share=share)
     first, second, third = (desk.read(0, wait=9000) for _ in range(3))
     desk.at(0, first, second, third).at(0, (first, NeedsCall()))
     desk.at(took, (first, CallEnded(Outcome.HONOURED)), cpu=0.1)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -40,7 +40,7 @@
 
     def passage(self, n, body=b"body", stamp=None):
         stamp = self.now if stamp is None else stamp
-        transaction = Transaction(PROFILE, 0, stamp, stamp + PROFILE.outer, 100)
+        transaction = Transaction(PROFILE, 0, stamp, stamp + PROFILE.deadline, 100)
         return Passage(None, n, f"{n:016x}", "order", body, transaction, stamp, f"{n:032x}")
 
     def begin(self, n):
--- a/tests/test_override.py
+++ b/tests/test_override.py
@@ -14,7 +14,7 @@
 
 
 def wide(*profiles, tenants=(), **more):
-    return Desk(*(profiles or (profile(goal=2000, outer=8000),)), tenants=list(tenants), cores=1, **more)
+    return Desk(*(profiles or (profile(goal=2000, deadline=8000),)), tenants=list(tenants), cores=1, **more)
 
 
 @pytest.mark.parametrize(
@@ -56,7 +56,7 @@
 
 @pytest.mark.parametrize("order", list(permutations((Refusal.AGAIN, Refusal.VISITOR)))[:2])
 def test_the_order_of_refusal_is_the_operators(order):
-    desk = wide(profile(goal=2500, outer=8000))
+    desk = wide(profile(goal=2500, deadline=8000))
     held(desk, 13_000, (*order, Refusal.HOME))
     ask = {
         Refusal.AGAIN: desk.read(13_100, caller=1, again=True),
@@ -71,7 +71,7 @@
 
 
 def test_of_two_visitors_the_one_of_less_payoff_for_its_work_goes():
-    dear, cheap = profile(goal=2500, outer=8000, payoff=4.0), profile(goal=2500, outer=8000, payoff=1.0)
+    dear, cheap = profile(goal=2500, deadline=8000, payoff=4.0), profile(goal=2500, deadline=8000, payoff=1.0)
     desk = Desk(dear, cheap, cores=1)
     desk.warm(took=1000, until=8_000).warm(took=1000, until=8_000, which=1)
     desk.at(13_000, desk.read(13_000), cpu=1.0)
@@ -83,7 +83,7 @@
 
 
 def test_a_repeat_of_a_labelled_one_that_has_run_is_never_refused():
-    desk = wide(profile(Kind.LABELLED, goal=2000, outer=8000, window=20_000 * MS))
+    desk = wide(profile(Kind.LABELLED, goal=2000, deadline=8000, window=20_000 * MS))
     running = held(desk, 13_000, tuple(Refusal), short=True)
     repeats = [desk.read(13_000 + n, caller=7, again=True, original=running) for n in range(8)]
     desk.at(13_010, *repeats, cpu=1.0).at(13_100, cpu=1.0)
@@ -91,7 +91,7 @@
 
 
 def test_one_let_back_in_uses_so_many_of_its_cores_and_more_as_the_plan_fades():
-    desk = Desk(profile(goal=9000, outer=20_000), cores=8)
+    desk = Desk(profile(goal=9000, deadline=20_000), cores=8)
     desk.driver.override(plan(until=5_000, fade=8_000, level=0.25))
     desk.at(100, cpu=0.1)
     asked = [desk.read(150) for _ in range(12)]
@@ -111,7 +111,7 @@
 
 
 def test_a_share_of_the_calls_told_anew_binds_at_once():
-    desk = Desk(profile(goal=9000, outer=20_000), cores=4, below=Below.SHARED, calls_share=3.0)
+    desk = Desk(profile(goal=9000, deadline=20_000), cores=4, below=Below.SHARED, calls_share=3.0)
     some = [desk.read(0) for _ in range(4)]
     desk.at(0, *some)
     desk.driver.share(1.0)
@@ -125,7 +125,7 @@
 
 def test_visitors_have_a_quota_of_their_own_from_the_start_and_are_told_when_to_come_back():
     tenant = Tenant(100.0)
-    desk = wide(profile(goal=6000, outer=8000), tenants=[tenant], advises=True, longest_advice=SECOND)
+    desk = wide(profile(goal=6000, deadline=8000), tenants=[tenant], advises=True, longest_advice=SECOND)
     desk.warm(took=1000, until=12_000)
     desk.driver.override(plan(visitors=frozenset((7,)), visits=0.5))
     desk.at(13_000, desk.read(13_000, tenant=tenant), cpu=1.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize(("size", "count"), [(100, 9), (450, 2), (950, 0)])
 def test_memory_of_held_and_running(size, count):
-    desk = Desk(profile(goal=60_000, outer=60_000), cores=1, memory=1000, run_factor=1.0)
+    desk = Desk(profile(goal=60_000, deadline=60_000), cores=1, memory=1000, run_factor=1.0)
     desk.at(0, *[desk.read(0, size=size) for _ in range(20)])
     assert desk.brain.memory == size * count
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -96,7 +96,7 @@
         ("settings.classes.0.effect", ..., lambda d: d.profiles[0].kind is Kind.IRREVERSIBLE),
         ("settings.classes.1.window_s", ..., lambda d: d.profiles[1].window == 4 * SECOND),  # the deadline
         ("settings.classes.1.window_s", 0, lambda d: d.profiles[1].window == 0),
-        ("settings.classes.0.aim_s", ..., lambda d: d.profiles[0].goal == d.profiles[0].outer),
+        ("settings.classes.0.aim_s", ..., lambda d: d.profiles[0].goal == d.profiles[0].deadline),
         ("settings.classes.0.name", "-", lambda d: len(d.profiles) == 2),
         ("settings.classes.0.name", "a, b/c \u00fc", lambda d: len(d.profiles) == 2),
         ("settings.family_info.class_skip_worth", ..., lambda d: not d.profiles[0].skip_payoff),
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -91,7 +91,7 @@
 
     def passage(self, name="a", kind=REDOABLE, label="", original=None):
         now = self.clock.now
-        tx = Transaction(kind, 0, now, now + kind.outer, 100, original=original and original.transaction)
+        tx = Transaction(kind, 0, now, now + kind.deadline, 100, original=original and original.transaction)
         passage = Passage(
             Peer(), 7, name, "lookup", b"body", tx, now, label, original and self.labels.standing(label, now)
         )
