Let neither one that reads nothing nor an empty queue hold the listener up at the bound

At the bound the connection that was ended first decides whether anyone may be accepted; one that reads nothing, its answers unsent, kept all others out for its second. And where the program left while there was no room, the look that closes the listener had passed, and nothing new woke the task that waits for it: it stayed, deaf, to the end. Change: 200 ms for one that reads nothing; a leaving listener is looked at every 20 ms until it closes.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -48,6 +48,7 @@
 LAST_LOOK = 100  # what is being opened as the program leaves has 10 ms to get into the system's queue
 LINGERING = 4  # ended connections may be there besides, and an eighth of all
 LINGER_LEAST = 200  # one is not cut off to make room before its answers have had 20 ms to be read
+LINGER_UNREAD = 2_000  # or before 200 ms, where they have not all gone out
 CANDIDATES = 8  # looked at to make room
 READS = 16  # of a connection that is to be ended, before it is judged: it may hold more than one read takes
 ATTACH_FILTER = 26  # SO_ATTACH_FILTER of Linux
@@ -255,7 +256,11 @@
                 self.scheduler.forget(self.listener.fileno())
                 self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
                 continue
-            self.scheduler.wait(self.listener.fileno(), READ)
+            if self.leaving:
+                # Nobody begins to open any more: it is not woken by what has come, but looks.
+                self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
+            else:
+                self.scheduler.wait(self.listener.fileno(), READ)
             if self.listener is not None and not self.accept_ready(self.listener):
                 self.scheduler.sleep(self.scheduler.now + NO_ROOM_WAIT)
 
@@ -361,9 +366,10 @@
     def has_room(self) -> bool:
         now = self.scheduler.now
         if len(self.all) + len(self.ending) >= self.most + self.lingering:
-            # Guards against answers that are cut off in the pass in which their connection was ended.
+            # Guards against answers that are cut off in the pass in which their connection was ended, and
+            # against one that reads nothing and would keep all others out.
             for client, since in islice(self.ending.items(), 1):
-                if since > now - LINGER_LEAST or client.connection.unsent:
+                if since > now - (LINGER_UNREAD if client.connection.unsent else LINGER_LEAST):
                     return False
         if len(self.all) < self.most or self.spare:
             return True
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -174,6 +174,44 @@
     assert len(new) == 12 and hall.clients.counters.counts["clients.made_room"] >= 12
 
 
+def test_one_that_reads_nothing_does_not_keep_others_out_for_long(begin):
+    """At the bound, with no more connections to end than the one that was ended first."""
+    hall = begin(most=1)
+    hall.clients.lingering = 1
+    first = hall.router()
+    ping = first.ping()
+    hall.passes()
+    assert first.answer(ping)[0] is None
+    (client,) = hall.clients.all
+    client.connection.flush = lambda: None  # the system takes nothing more for it
+    first.ping()
+    hall.passes()
+    second, third = hall.router(), hall.router()
+    call = third.ping()
+    second.ping()
+    for _ in range(30):
+        hall.passes(ms=10)
+    assert len(hall.clients.all) + len(hall.clients.ending) <= 2
+    assert third.answer(call) == (None, [True, {}])
+
+
+def test_the_listener_closes_once_there_was_room_for_who_waited_and_nobody_waits(begin):
+    hall = begin(most=1)
+    router = hall.router()
+    call = router.call("lookup", b"1")
+    hall.passes()
+    leave(hall)
+    hall.passes(ms=LAST_LOOK // 10)  # no room to look whether someone waits
+    assert hall.clients.listener is not None
+    hall.end(hall.launched()[0], Outcome.HONOURED)
+    hall.passes()
+    assert router.answer(call) == (None, [b"made", {}])
+    hall.hang_up(router)
+    for _ in range(10):
+        hall.passes(ms=10)
+    assert hall.program.phase is Phase.ENDED
+
+
 def leave(hall):
     hall.program.leave()
     hall.passes(ms=hall.program.site.deployment.grace // 10 + 1)
