Let a connection that is over go at once, not when the collector comes by

Since the change of ends every connection held a method of its own or of its router's object (`spoilt`), a ring that reference counts don't free, with a buffer in it; many short calls to the vault make many of them. Change: none but a router's has such a method, and it is let go at the close. Tests: four ways to end, without a collection: all four fail before and pass now.

--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -50,7 +50,9 @@
         self.peer_ended = False
         self.why = ""
         self.malformed = False
-        self.spoilt: Callable[[str], None] = self.close  # hears of what can't be read
+        # Hears of what can't be read, where a close is not enough. Let go at the close: each would keep the
+        # other in memory, with its buffer, until the collector comes by.
+        self.spoilt: Callable[[str], None] | None = None
         self.last = scheduler.now  # when something last went either way
 
     def serve(self, take: Callable[[Buffer], None]) -> str:
@@ -74,7 +76,7 @@
             return self.read_once(take)
         except Unreadable as trouble:
             self.malformed = True
-            self.spoilt(str(trouble))
+            (self.spoilt or self.close)(str(trouble))
             return False
 
     def read_once(self, take: Callable[[Buffer], None]) -> bool:
@@ -177,7 +179,7 @@
     def close(self, why: str) -> None:
         """At once; a peer that may still be writing, or has not read all, is ended in order instead."""
         if self.open:
-            self.open, self.why = False, self.why or why
+            self.open, self.why, self.spoilt = False, self.why or why, None
             if self.ending is not None:
                 self.ending.cancel()
             self.unsent.clear()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,7 +1,9 @@
 """What comes in the moment of a close, on real connections; the bad order is made to happen every time."""
 
+import gc
 import select
 import socket
+import weakref
 
 import pytest
 
@@ -212,6 +214,35 @@
     assert hall.program.phase is Phase.ENDED
 
 
+@pytest.mark.parametrize("how", ["its own end", "told closing", "rubbish", "the program's close"])
+def test_a_connection_that_is_over_is_freed_without_a_collection(begin, how):
+    """Guards against memory that grows with each connection until the collector comes by."""
+    hall = begin()
+    gc.collect()
+    gc.disable()
+    try:
+        router = hall.router()
+        ping = router.ping()
+        hall.passes()
+        assert router.answer(ping)[0] is None
+        (client,) = hall.clients.all
+        watched = [weakref.ref(client), weakref.ref(client.connection), weakref.ref(client.connection.buffer)]
+        if how == "told closing":
+            client.say_closing()
+        elif how == "rubbish":
+            router.link.sendall(b"\xc1")
+        elif how == "the program's close":
+            client.connection.close("dropped")
+        del client
+        hall.passes()
+        hall.passes(ms=TOLD_MS)
+        hall.hang_up(router)
+        hall.passes(ms=TOLD_MS)
+        assert [one() for one in watched] == [None] * 3
+    finally:
+        gc.enable()
+
+
 def leave(hall):
     hall.program.leave()
     hall.passes(ms=hall.program.site.deployment.grace // 10 + 1)
