Shed, not write off, a repeat of an earlier life that comes before the agent greets

Since what came before the greeting was looked up among labels of earlier lives and written off when one stood (`turn_away`); a client that heard so takes its outcome for unknown, though the result is kept and is told once the agent is up. No run of this life can have been: a shed is true.

--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -364,7 +364,8 @@
         self.book.gone(passage)
 
     def given_up(self, passage: Passage) -> None:
-        self.admit.find_label(passage)  # it may have been read just now
+        if self.admit.driver is not None:
+            self.admit.find_label(passage)  # it may have been read just now
         self.relay.drop(passage)
         self.book.give_up(passage)
 
--- a/birchslip/net/stages/admit.py
+++ b/birchslip/net/stages/admit.py
@@ -48,8 +48,9 @@
     def settle(self) -> None:
         """One batch: what has come, then a tick, then who goes on. What that brings is the next batch's."""
         if self.driver is None:
-            self.turn_away()
-            self.news.clear()
+            # Also of what repeats a label of an earlier life: nothing has run in this one, it may come again.
+            while self.news:
+                self.unready(self.news.popleft()[0])
             return
         self.driver.clock(self.scheduler.tell_time())
         for _ in range(len(self.news)):
@@ -91,14 +92,5 @@
             standing = self.labels.standing(passage.label_name, passage.stamp)
             passage.label = standing or self.labels.earlier(passage)
 
-    def turn_away(self) -> None:
-        """What has come and is not for the decisions: nothing may run. A repeat of what may have run never
-        hears that it has not, which would send it elsewhere.
-        """
-        for passage, event in self.news:
-            if event is None and not passage.answered:
-                self.find_label(passage)
-                (self.unready if passage.label is None else self.mislabelled)(passage)
-
     def fault_of(self, transaction: Transaction, trouble: Exception) -> None:
         self.fault(transaction.outside, trouble)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,6 +10,7 @@
 from birchslip.interface import Outcome
 from birchslip.net.clients import LAST_LOOK, SPARE, WORD, WORD_EVERY, YOUNG
 from birchslip.net.messagepack import pack
+from birchslip.net.passage import Label
 from birchslip.net.program import Phase
 
 from .hall import Hall
@@ -328,6 +329,18 @@
     assert hall.program.phase is Phase.ENDED
 
 
+def test_before_the_agent_greets_a_repeat_of_an_earlier_life_may_come_again(begin):
+    """Guards against writing off, as unknown, what is kept and can be told a moment later."""
+    hall = begin(greets=False)
+    hall.program.labels.earlier = lambda passage: Label(
+        passage.label_name, passage, passage.stamp, passage, asked=lambda other: True
+    )
+    router = hall.router()
+    call = router.call("order", b"1", opkey=KEY)
+    hall.passes()
+    assert router.answer(call)[0][0] == "Overloaded"
+
+
 def test_after_the_shutdown_only_a_repeat_of_what_runs_is_taken(begin):
     hall = begin()
     router = hall.router()
