Close idle connections at the limit that is cheapest for how callers came back

Lines at fault: `close_idle`, which kept all connections while more was shed than served, and closed after a fixed second else. The assumption that did not carry over: that a full table is the cheaper way to shed, and that one idle limit fits all fleets.

Change: the last 100 returns of callers price each idle limit from 0.1 s to what callers keep: a handshake for each return after the limit, and the time that connections stood idle. A first contact soon after the start counts as what all callers (told: clients_total) come to in the mean.

The test that held the old exception is replaced by one of limits to the millisecond.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -9,6 +9,7 @@
 
 import heapq
 from bisect import bisect_left, insort
+from collections import deque
 from collections.abc import Generator, Iterator
 from math import ceil, inf
 from typing import Any
@@ -41,7 +42,9 @@
 STEADY = 1.3  # pace, against the usual, up to which runs are taken to go as usual
 BEGUN = 1.5  # running limits that may have begun: those at calls come back beside what runs
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
-IDLE = SECOND  # after which an idle connection is closed
+IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
+HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one costs in this time
+RETURNS = 100  # the last returns of callers, by which idle limits are weighed
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
@@ -110,6 +113,38 @@
         return sorted(value for slot in slots for value in self.cells[slot % MEMORY_SLICES])
 
 
+class CallerReturns:
+    """After how long callers come back, by which an idle connection is weighed against a new one."""
+
+    def __init__(self, now: int, keepalive: int, callers: int) -> None:
+        self.started, self.keepalive, self.callers = now, keepalive, callers
+        self.last_heard: dict[int, int] = {}
+        self.gaps: deque[int] = deque(maxlen=RETURNS)
+        self.heard = 0
+
+    def hear(self, caller: int, now: int) -> None:
+        self.heard += 1
+        last = self.last_heard.pop(caller, None)
+        self.last_heard[caller] = now
+        gap = 2 * self.keepalive if last is None else now - last
+        if last is None and self.callers and now - self.started < self.keepalive:
+            # Not heard since the start need not mean a stranger: taken to come as often as all do.
+            gap = min(gap, self.callers * max(SECOND, now - self.started) // self.heard)
+        self.gaps.append(gap)
+
+    def forget(self, now: int) -> None:
+        while self.last_heard and next(iter(self.last_heard.values())) <= now - self.keepalive:
+            del self.last_heard[next(iter(self.last_heard))]
+
+    def cheapest_limit(self, handshake: float) -> int:
+        """The idle limit at which the time that connections stood idle and the handshakes cost least."""
+
+        def price(limit: int) -> float:
+            return sum(gap if gap <= limit else limit + handshake for gap in self.gaps)
+
+        return min((self.keepalive, *(limit for limit in IDLE_LIMITS if limit < self.keepalive)), key=price)
+
+
 class Meter:
     """The source's sensor for one caller or tenant."""
 
@@ -159,7 +194,9 @@
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.turned, self.shed_ages, self.came_back = (Ring(WINDOWS, WINDOW) for _ in range(3))
+        self.turned, self.shed_ages = (Ring(WINDOWS, WINDOW) for _ in range(2))
+        self.returns, self.use = CallerReturns(now, deployment.keepalive, deployment.callers), 1.0
+        self.next_idle = now
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
@@ -289,7 +326,7 @@
         back = tx.caller in self.callers
         meter = self.callers[tx.caller] = self.callers.pop(tx.caller) if back else Meter()
         meter.heard = self.now
-        self.came_back.add(self.now, 1 if back else -1)
+        self.returns.hear(tx.caller, self.now)
         if self.force and tx.caller in self.plan.visitors:
             return self.visiting
         return self.tenants[tx.tenant] if tx.tenant is not None and tx.tenant.quota > 0 else meter
@@ -655,6 +692,7 @@
         self.notices.append(Tick(now + TICK))
         while self.callers and next(iter(self.callers.values())).heard <= now - SPAN:
             del self.callers[next(iter(self.callers))]
+        self.returns.forget(now)
         while self.labels and self.labels[0][0] <= now:
             self.forget(heapq.heappop(self.labels)[2])
         if self.all_runs.number >= 3 * self.site.cores:
@@ -669,7 +707,10 @@
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
         used = gauges.cores_used
-        self.busy = len(self.on_cores) >= int(self.limit) if used is None else used >= BUSY
+        if used is None:
+            used = min(1.0, len(self.on_cores) / int(self.limit))
+        self.busy = used >= BUSY
+        self.use += (used - self.use) * TICK / SPAN
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
         waits = max((now - tx.ready for _, _, tx in self.hold), default=0)
         self.crowded = self.busy and max(waits, self.backlog) > SHORT_WAIT
@@ -709,13 +750,16 @@
             self.log(f"health {'good' if good else 'bad'}: runs take {self.stuck:.1f} times the usual")
 
     def close_idle(self) -> None:
-        """Idle connections take cores, and room from others: closed early where few callers come back.
+        """Idle connections are closed where that costs less than the handshakes that it brings.
 
-        Guards against many callers with little each. While more is shed than honoured they stay, against a
-        storm of tries: a full table turns them away before they cost a handshake and a reading.
+        An idle connection slows only what runs meanwhile, so its price goes by the use of the cores.
         """
         self.storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
-        idle = 0 if self.storm or self.came_back.total(self.now) >= 0 else IDLE
+        if self.now < self.next_idle or len(self.returns.gaps) < 3 * FEW:
+            return
+        self.next_idle = self.now + SECOND
+        limit = self.returns.cheapest_limit(HANDSHAKE_WORTH / max(0.01, self.use))
+        idle = limit if limit < self.site.keepalive else 0
         if idle != self.idle:
             self.idle = idle
             self.notices.append(Idle(idle))
--- a/birchslip/deployment.py
+++ b/birchslip/deployment.py
@@ -171,4 +171,6 @@
         linger=late(told.least("family_info.linger_s", span if shared else 0.0)),
         advises=told.flag("ceilings.retry_after") and longest > 0,
         longest_advice=early(longest),
+        callers=max(0, int(told.real("family_info.clients_total", usual.callers))),
+        keepalive=late(max(0.01, told.real("family_info.keepalive_max_s", usual.keepalive / SECOND))),
     )
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -82,6 +82,8 @@
     linger: int = 0
     advises: bool = False
     longest_advice: int = 0
+    keepalive: int = 30 * SECOND
+    callers: int = 0
     seed: int = 1
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from birchslip.brain import CALLS_KEPT
+from birchslip.brain import CALLS_KEPT, RETURNS
 from birchslip.interface import (
+    SECOND,
     Below,
     CallEnded,
     Gone,
@@ -291,19 +292,55 @@
     assert "Shed" not in desk.wishes(first) and any("Shed" in desk.wishes(tx) for tx in others)
 
 
-@pytest.mark.parametrize(("callers", "shed", "early"), [(2, 0, False), (500, 0, True), (500, 99, False)])
-def test_idle_connections_are_closed_early_where_callers_seldom_come_back(callers, shed, early):
+def idle_limit(desk):
+    """The idle limit told last, in ms; 0 leaves connections open as long as callers do."""
+    return [told.span for told in desk.told if isinstance(told, Idle)][-1] // MS
+
+
+# few callers; many that each come once; the same in a storm of retries; a heavy caller among many light ones
+@pytest.mark.parametrize(
+    ("callers", "shed", "limit"),
+    [(2, 0, 0), (500, 0, 100), (500, 199, 100), (0, 0, 200)],
+    ids=["few", "many", "many in a storm", "one heavy among many"],
+)
+def test_the_idle_limit_is_the_cheapest_for_how_callers_came_back(callers, shed, limit):
     desk = Desk(cores=1)
-    for at in range(0, 8000, 100):
-        tx = desk.read(at, caller=at // 100 % callers)
-        desk.at(at, tx).at(at + 50, (tx, HONOURED))
+    for at in range(0, 16_000, 100):
+        number = at // 100
+        caller = number % callers if callers else 0 if number % 4 else number
+        tx = desk.read(at, caller=caller)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
     for _ in range(shed):
         desk.brain.shed(desk.read(0))
-    desk.at(8000, cpu=0.5)
-    assert ([told.span for told in desk.told if isinstance(told, Idle)][-1] > 0) is early
+    desk.at(17_000, cpu=0.5)
+    assert idle_limit(desk) == limit
     assert desk.brain.storm is (shed > 0)
 
 
+@pytest.mark.parametrize(("cpu", "limit"), [(1.0, 100), (0.1, 0)], ids=["busy", "idle cores"])
+def test_a_handshake_is_worth_a_longer_wait_while_the_cores_have_room(cpu, limit):
+    """Every caller comes back after 8 s: on busy cores its place costs more than its handshake."""
+    desk = Desk(cores=1)
+    for at in range(0, 60_000, 200):
+        desk.at(at, desk.read(at, caller=at // 200 % 40), cpu=cpu)
+    assert idle_limit(desk) == limit
+
+
+@pytest.mark.parametrize(("callers", "limit"), [(20, 6400), (2000, 100)], ids=["small fleet", "large fleet"])
+def test_a_first_contact_soon_after_the_start_is_a_stranger_only_among_many_callers(callers, limit):
+    desk = Desk(cores=1, callers=callers)
+    for at in range(0, 2_000, 100):
+        desk.at(at, desk.read(at, caller=at), cpu=1.0)
+    assert idle_limit(desk) == limit
+
+
+def test_callers_are_remembered_for_no_longer_than_their_connections_last():
+    desk = Desk(cores=1, keepalive=5 * SECOND)
+    for at in range(0, 20_000, 100):
+        desk.at(at, desk.read(at, caller=at), cpu=0.5)
+    assert len(desk.brain.returns.last_heard) <= 51 and len(desk.brain.returns.gaps) == RETURNS
+
+
 def test_a_further_try_is_as_old_as_sheds_here_have_been():
     desk = Desk(cores=2).warm()
     desk.brain.shed_ages.add(12_000 * MS, 900 * MS)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -107,6 +107,12 @@
         ("settings.ceilings.retry_after", "maybe", lambda d: not d.advises),
         ("settings.family_info.cores", 0.5, lambda d: d.cores == 1),
         ("settings.group_size", 0, lambda d: d.fleet == 1),
+        ("settings.family_info.keepalive_max_s", ..., lambda d: d.keepalive == 30 * SECOND),
+        ("settings.family_info.keepalive_max_s", 15, lambda d: d.keepalive == 15 * SECOND),
+        ("settings.family_info.keepalive_max_s", -1, lambda d: d.keepalive == SECOND // 100),
+        ("settings.family_info.clients_total", ..., lambda d: d.callers == 0),
+        ("settings.family_info.clients_total", 40, lambda d: d.callers == 40),
+        ("settings.family_info.clients_total", -3, lambda d: d.callers == 0),
         ("settings.family_info", {"downstream": "tier", "share_span_s": 0, "calls_out": -1}, lambda d: True),
         ("settings.classes.0.window_s", -1, lambda d: d.profiles[0].window == 0),  # of no labelled class
         ("settings.new_key", {"deep": [{"er": 1}]}, lambda d: d.cores == 2),  # further keys are ignored
