Learn by regression how much a told cost says, in place of taking it in proportion

Ruled out: the pace, which stood at 1.0. Line at fault: `typical`, usual time for each unit of told cost times the cost: an assumption of exact hints, which no deployment broke before.

Change: log time on log cost, least squares within each profile over the last 200 runs, with a prior for exact hints; what is told as four times as large counts for less the rougher hints are measured to be. Holds also against hints that are wrong altogether, or constant; may hurt where only the largest are told exactly.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -11,14 +11,14 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Generator, Iterator
-from math import ceil, inf
+from math import ceil, exp, inf, log
 from typing import Any
 
 # fmt: off
 # isort: off
 from .interface import (
     NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Gauges, GiveUp,
-    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Override, Place, Refusal,
+    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Override, Place, Profile, Refusal,
     Remember, Shed, SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
 # isort: on
@@ -44,6 +44,7 @@
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
 HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one costs in this time
+HINT_RUNS, HINT_PRIOR = 200, 3.0  # runs that tell how good hints are; the weight of their being exact
 RETURNS = 100  # the last returns of callers, by which idle limits are weighed
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
@@ -145,6 +146,32 @@
         return min((self.keepalive, *(limit for limit in IDLE_LIMITS if limit < self.keepalive)), key=price)
 
 
+class CostHint:
+    """How closely run times follow told costs: time ~ cost ** power, by least squares within each profile.
+
+    A rough hint says less than it seems to: what is told as large is large by the hint's error, too.
+    """
+
+    def __init__(self, profiles: list[Profile]) -> None:
+        self.means = {profile: (0, 0.0, 0.0) for profile in profiles}
+        self.variance = self.covariance = HINT_PRIOR
+        self.power = 1.0
+
+    def add(self, profile: Profile, cost: int, took: float) -> None:
+        number, cost_mean, took_mean = self.means[profile]
+        number = min(number + 1, HINT_RUNS)
+        from_cost, from_took = log(max(1, cost)) - cost_mean, log(max(1.0, took)) - took_mean
+        self.means[profile] = (number, cost_mean + from_cost / number, took_mean + from_took / number)
+        keep = 1 - 1 / HINT_RUNS
+        self.variance = self.variance * keep + from_cost * from_cost * (1 - 1 / number)
+        self.covariance = self.covariance * keep + from_cost * from_took * (1 - 1 / number)
+        self.power = min(1.0, max(0.0, self.covariance / max(1e-9, self.variance)))
+
+    def factor(self, profile: Profile, cost: int) -> float:
+        """The time that such a cost stands for, against the profile's usual one."""
+        return exp(self.power * (log(max(1, cost)) - self.means[profile][1]))
+
+
 class Meter:
     """The source's sensor for one caller or tenant."""
 
@@ -185,7 +212,7 @@
         self.in_hand = self.begun = 0
         # what things take
         self.runs, self.calls_made = ({p: Times() for p in deployment.profiles} for _ in range(2))
-        self.all_runs, self.calls = Times(), Times()
+        self.all_runs, self.calls, self.hint = Times(), Times(), CostHint(deployment.profiles)
         self.calls_took, self.calls_ended = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
@@ -460,7 +487,7 @@
 
     def typical(self, tx: Transaction) -> float:
         """The time on a core that one like it usually takes, from its cost where that is told."""
-        return self.runs[tx.profile].usual * max(1, tx.work)
+        return self.runs[tx.profile].usual * self.hint.factor(tx.profile, tx.work)
 
     def rest(self, tx: Transaction) -> float:
         return max(0.0, self.typical(tx) * self.stretch - tx.core_time)
@@ -469,7 +496,7 @@
         """The time from its start to its answer, as things go now: cores, calls and the wait for a call."""
         # A high run time: begun with the usual one left, run after run is stopped half-way, as times scatter.
         call = self.call_time * (1 + len(self.queue) / self.allowed)
-        run = self.runs[tx.profile].high * max(1, tx.work) * self.stretch
+        run = self.runs[tx.profile].high * self.hint.factor(tx.profile, tx.work) * self.stretch
         return run + self.calls_made[tx.profile].usual * call
 
     def wanted(self, tx: Transaction) -> int:
@@ -482,7 +509,7 @@
         its base time, while the pace is usual; else what it needs.
         """
         if before < int(self.limit) and (not before or self.stretch < STEADY):
-            return self.runs[tx.profile].base * max(1, tx.work) if before else 0.0
+            return self.runs[tx.profile].base * self.hint.factor(tx.profile, tx.work) if before else 0.0
         return self.needs(tx)
 
     def fits(self, tx: Transaction, delay: float) -> bool:
@@ -597,7 +624,8 @@
         if ended.outcome not in (Outcome.HONOURED, Outcome.ERRED):
             self.done.add(self.core_clock, min(tx.core_time, ceil(typical)))
             return
-        self.runs[tx.profile].add(self.now, tx.core_time / max(1, tx.work))
+        self.hint.add(tx.profile, tx.work, tx.core_time)
+        self.runs[tx.profile].add(self.now, tx.core_time / self.hint.factor(tx.profile, tx.work))
         self.calls_made[tx.profile].add(self.now, tx.calls)
         self.all_runs.add(self.now, tx.core_time)
         self.done.add(self.core_clock, ceil(typical) or tx.core_time)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -341,6 +341,31 @@
     assert len(desk.brain.returns.last_heard) <= 51 and len(desk.brain.returns.gaps) == RETURNS
 
 
+def told_and_took(desk, error):
+    """Runs whose told cost is off by a factor of up to `error`, either way, whatever they take."""
+    at = 0
+    for run in range(60):
+        took = 200 * 4 ** (run % 2)
+        cost = took * MS * error ** ((-1, 0, 1)[run % 3])
+        tx = desk.read(at, work=int(cost))
+        desk.at(at, tx).at(at + took, (tx, HONOURED))
+        at += took + 10
+    return at
+
+
+@pytest.mark.parametrize(("error", "low", "high"), [(1, 3.9, 4.1), (2, 1.5, 3.0)], ids=["exact", "rough"])
+def test_a_cost_told_four_times_as_large_counts_for_less_where_hints_are_rough(error, low, high):
+    desk = Desk(cores=1)
+    at = told_and_took(desk, error)
+    small, large = (desk.read(at, work=cost * MS) for cost in (200, 800))
+    assert low < desk.brain.typical(large) / desk.brain.typical(small) < high
+
+
+def test_without_a_told_cost_all_of_a_profile_take_the_usual_time():
+    desk = Desk(cores=1).warm(took=300)
+    assert desk.brain.typical(desk.read(12_000)) == desk.brain.all_runs.usual
+
+
 def test_a_further_try_is_as_old_as_sheds_here_have_been():
     desk = Desk(cores=2).warm()
     desk.brain.shed_ages.add(12_000 * MS, 900 * MS)
