Ask not to be tried elsewhere where most tries need a new connection

Line at fault: `shed`, which asks so only when crowded or in a storm: it takes a try elsewhere for the price of a reading. Where callers come too seldom to find their connection open, it costs a handshake as well, and the client behind tries again anyway.

Change: sheds ask not to be tried elsewhere also while more than half of the returns come after the idle limit in force. Holds against any storm among many callers; may hurt where one server is hot and the others have room, and a caller's own further try is the only one.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -145,6 +145,10 @@
 
         return min((self.keepalive, *(limit for limit in IDLE_LIMITS if limit < self.keepalive)), key=price)
 
+    def reconnects(self, limit: int) -> bool:
+        """Whether most need a new connection where idle ones are closed after `limit`."""
+        return 2 * sum(gap > limit for gap in self.gaps) > len(self.gaps)
+
 
 class CostHint:
     """How closely run times follow told costs: time ~ cost ** power, by least squares within each profile.
@@ -223,7 +227,7 @@
         self.watch: list[tuple[int, int, Transaction]] = []
         self.turned, self.shed_ages = (Ring(WINDOWS, WINDOW) for _ in range(2))
         self.returns, self.use = CallerReturns(now, deployment.keepalive, deployment.callers), 1.0
-        self.next_idle = now
+        self.next_idle, self.reconnects = now, False
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
@@ -553,7 +557,7 @@
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
         after = min(ceil(wait * (0.75 + (self.chance >> 40) / (1 << 25))), self.site.longest_advice)
         # Where the plan says that no app server has room, a try elsewhere is a try in vain.
-        full = self.crowded or self.storm or (self.plan.short and self.force > 0)
+        full = self.crowded or self.storm or self.reconnects or (self.plan.short and self.force > 0)
         return Shed(after, full and self.stretch < SLOWED)
 
     def wait_for_core(self) -> float:
@@ -787,6 +791,7 @@
             return
         self.next_idle = self.now + SECOND
         limit = self.returns.cheapest_limit(HANDSHAKE_WORTH / max(0.01, self.use))
+        self.reconnects = self.returns.reconnects(limit)
         idle = limit if limit < self.site.keepalive else 0
         if idle != self.idle:
             self.idle = idle
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -334,6 +334,15 @@
     assert idle_limit(desk) == limit
 
 
+@pytest.mark.parametrize(("callers", "last"), [(2, False), (500, True)], ids=["few", "many"])
+def test_a_shed_asks_not_to_be_tried_elsewhere_where_a_try_needs_a_new_connection(callers, last):
+    desk = Desk(cores=1, advises=True, longest_advice=SECOND)
+    for at in range(0, 16_000, 100):
+        tx = desk.read(at, caller=at // 100 % callers)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
+    assert desk.brain.shed(desk.read(16_000)).last is last
+
+
 def test_callers_are_remembered_for_no_longer_than_their_connections_last():
     desk = Desk(cores=1, keepalive=5 * SECOND)
     for at in range(0, 20_000, 100):
