Count what was asked less one standard deviation when it is settled who pays

Line at fault: `heaviness`: of several counts over the same quota the smallest scatters most, so that the greatest ratio is nearly always a light one's.

Change: the count less the root of it (for bytes, of count times the transaction's own size). A lone transaction then says nothing against its caller, and further tries go first. Holds against any mix of light and heavy tenants; may hurt where a light one passes its quota for good: it pays a little later.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -354,8 +354,8 @@
     def meter(self, tx: Transaction) -> Meter:
         """Its tenant's, where a quota is told, or else its caller's."""
         # The last heard stands last, so that the tick finds those who have fallen silent at the head.
-        back = tx.caller in self.callers
-        meter = self.callers[tx.caller] = self.callers.pop(tx.caller) if back else Meter()
+        meter = self.callers.pop(tx.caller) if tx.caller in self.callers else Meter()
+        self.callers[tx.caller] = meter
         meter.heard = self.now
         self.returns.hear(tx.caller, self.now)
         if self.force and tx.caller in self.plan.visitors:
@@ -394,8 +394,13 @@
         return rate * honoured / max(1, len(self.callers))
 
     def heaviness(self, tx: Transaction) -> float:
-        """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it."""
-        return float(tx.meter.asked.total(self.now) / (tx.meter.told or max(1.0, self.quota(tx.meter))))
+        """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it.
+
+        Less one standard deviation of its number: by chance alone a light one asks for far more at times.
+        """
+        asked = tx.meter.asked.total(self.now)
+        beyond_chance = max(0.0, asked - (asked * (1 if tx.meter.told else tx.size)) ** 0.5)
+        return float(beyond_chance / (tx.meter.told or max(1.0, self.quota(tx.meter))))
 
     # ---- the plan of the fleet: quotas told anew while in service --------------------------------------
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -297,6 +297,18 @@
     return [told.span for told in desk.told if isinstance(told, Idle)][-1] // MS
 
 
+def test_chance_alone_does_not_make_a_light_tenant_pay():
+    """Both have asked for 1.2 times their quota, which is twenty for the one and two hundred for the other."""
+    light, heavy = Tenant(2.0), Tenant(20.0)
+    desk = Desk(cores=1, tenants=[light, heavy])
+    desk.brain.tenants[light].asked.add(0, 24)
+    desk.brain.tenants[heavy].asked.add(0, 239)
+    ones = [desk.read(0, tenant=tenant) for tenant in (light, heavy)]
+    for tx in ones:
+        desk.brain.count(tx)
+    assert max(ones, key=desk.brain.refusal).tenant is heavy
+
+
 # few callers; many that each come once; the same in a storm of retries; a heavy caller among many light ones
 @pytest.mark.parametrize(
     ("callers", "shed", "limit"),
