Leave connections open in a flood of what is beyond told quotas

What is beyond a told quota is worth little: there a full table, which costs nothing for what it refuses, is the better way.

Change: while more than half as much is shed beyond told quotas as is served, until it is under a quarter, connections stay open. Holds against a tenant's runaway client; may hurt light tenants, whom a full table refuses as well.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -45,6 +45,10 @@
 IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
 HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one costs in this time
 HINT_RUNS, HINT_PRIOR = 200, 3.0  # runs that tell how good hints are; the weight of their being exact
+FLOOD, FLOOD_OVER = (
+    0.5,
+    0.25,
+)  # shed beyond told quotas, over what is served, at which a flood begins and ends
 RETURNS = 100  # the last returns of callers, by which idle limits are weighed
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
@@ -145,10 +149,6 @@
 
         return min((self.keepalive, *(limit for limit in IDLE_LIMITS if limit < self.keepalive)), key=price)
 
-    def reconnects(self, limit: int) -> bool:
-        """Whether most need a new connection where idle ones are closed after `limit`."""
-        return 2 * sum(gap > limit for gap in self.gaps) > len(self.gaps)
-
 
 class CostHint:
     """How closely run times follow told costs: time ~ cost ** power, by least squares within each profile.
@@ -181,9 +181,8 @@
 
     def __init__(self, told: float = 0.0) -> None:
         self.ring, self.asked = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.told = told
+        self.told, self.heard = told, 0
         self.planned = 0.0  # the quota of the plan in force, 0 where it names none
-        self.heard = 0
 
     def delay(self, now: int, quota: float) -> int:
         """delay = (window total - bound) / quota per second."""
@@ -205,10 +204,10 @@
         self.callers: dict[int, Meter] = {}
         self.tenants = {tenant: Meter(tenant.quota / deployment.fleet) for tenant in deployment.tenants}
         self.honoured, self.honoured_number = Ring(WINDOWS, WINDOW), Ring(WINDOWS, WINDOW)
-        self.crowded = self.busy = self.storm = self.look = False
+        self.crowded = self.busy = self.storm = self.flood = self.reconnects = self.look = False
         # the hold, the cores and the calls below
         self.limit = float(deployment.cores)
-        self.limit_moved = self.limit_cut = self.next_call = now
+        self.limit_moved = self.limit_cut = self.next_call = self.next_idle = now
         self.hold: list[tuple[int, int, Transaction]] = []
         self.queue: list[tuple[bool, int, int, Transaction]] = []
         self.on_cores: dict[Transaction, None] = {}
@@ -225,9 +224,8 @@
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.turned, self.shed_ages = (Ring(WINDOWS, WINDOW) for _ in range(2))
+        self.turned, self.shed_ages, self.over_quota = (Ring(WINDOWS, WINDOW) for _ in range(3))
         self.returns, self.use = CallerReturns(now, deployment.keepalive, deployment.callers), 1.0
-        self.next_idle, self.reconnects = now, False
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
@@ -254,6 +252,7 @@
             return
         if not self.fits(tx, delay):
             self.uncount(tx)
+            self.over_quota.add(self.now, 1 if delay and tx.meter.told else 0)
             # The advice keeps away all that its caller carries: a tenant's delay is not its caller's. All
             # that a visitor carries is visiting.
             yield self.shed(tx, 0 if tx.meter.told and tx.meter is not self.visiting else delay)
@@ -394,10 +393,7 @@
         return rate * honoured / max(1, len(self.callers))
 
     def heaviness(self, tx: Transaction) -> float:
-        """What its caller or tenant asked for, shed or not, against its quota: admitted ones come near it.
-
-        Less one standard deviation of its number: by chance alone a light one asks for far more at times.
-        """
+        """What its caller asked for, shed or not, beyond what chance alone explains, against its quota."""
         asked = tx.meter.asked.total(self.now)
         beyond_chance = max(0.0, asked - (asked * (1 if tx.meter.told else tx.size)) ** 0.5)
         return float(beyond_chance / (tx.meter.told or max(1.0, self.quota(tx.meter))))
@@ -789,15 +785,18 @@
     def close_idle(self) -> None:
         """Idle connections are closed where that costs less than the handshakes that it brings.
 
-        An idle connection slows only what runs meanwhile, so its price goes by the use of the cores.
+        An idle connection slows only what runs meanwhile, so its price goes by the use of the cores. All stay
+        in a flood beyond told quotas: a full table refuses it before it costs a handshake and a reading.
         """
-        self.storm = self.turned.total(self.now) > self.honoured_number.total(self.now)
+        served = self.honoured_number.total(self.now)
+        self.storm = self.turned.total(self.now) > served
+        self.flood = self.over_quota.total(self.now) > (FLOOD_OVER if self.flood else FLOOD) * served
         if self.now < self.next_idle or len(self.returns.gaps) < 3 * FEW:
             return
         self.next_idle = self.now + SECOND
         limit = self.returns.cheapest_limit(HANDSHAKE_WORTH / max(0.01, self.use))
-        self.reconnects = self.returns.reconnects(limit)
-        idle = limit if limit < self.site.keepalive else 0
+        self.reconnects = 2 * sum(gap > limit for gap in self.returns.gaps) > len(self.returns.gaps)
+        idle = limit if limit < self.site.keepalive and not self.flood else 0
         if idle != self.idle:
             self.idle = idle
             self.notices.append(Idle(idle))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -298,7 +298,7 @@
 
 
 def test_chance_alone_does_not_make_a_light_tenant_pay():
-    """Both have asked for 1.2 times their quota, which is twenty for the one and two hundred for the other."""
+    """Both have asked for 1.2 times their quota: twenty for the one, two hundred for the other."""
     light, heavy = Tenant(2.0), Tenant(20.0)
     desk = Desk(cores=1, tenants=[light, heavy])
     desk.brain.tenants[light].asked.add(0, 24)
@@ -346,6 +346,21 @@
     assert idle_limit(desk) == limit
 
 
+def test_connections_stay_in_a_flood_beyond_told_quotas_until_it_is_over():
+    desk = Desk(cores=1)
+    for at in range(0, 16_000, 100):
+        tx = desk.read(at, caller=at)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
+    served = desk.brain.honoured_number.total(desk.now)
+    limits = []
+    for beyond in (0.4, 0.2, -0.3, -0.1):  # 0.4, 0.6, 0.3 and 0.2 of what is served
+        desk.brain.over_quota.add(desk.now, int(beyond * served))
+        desk.brain.next_idle = 0
+        desk.brain.close_idle()
+        limits.append(desk.brain.idle // MS)
+    assert limits == [100, 0, 0, 100]
+
+
 @pytest.mark.parametrize(("callers", "last"), [(2, False), (500, True)], ids=["few", "many"])
 def test_a_shed_asks_not_to_be_tried_elsewhere_where_a_try_needs_a_new_connection(callers, last):
     desk = Desk(cores=1, advises=True, longest_advice=SECOND)
