Tell callers that heed a level to keep lower ranks away while work is shed

Lines at fault: none; a decision that was never made.

Change: where the settings tell of levels, the level rises by 0.02 a tick of 50 ms while work is held and more than a tenth as much is shed as is served, and falls by half of that else, to 0.9 at most, so that no one is kept away from all. Callers keep it for a second, so the value of a server that has nothing to shed is gone in a few. Holds against hot subjects, slow machines and bursts; may hurt the lowest class, whose rank is kept away first.

--- a/birchslip/adapter/wire.py
+++ b/birchslip/adapter/wire.py
@@ -6,6 +6,7 @@
 from ..deployment import deployment as decode
 from ..interface import (
     SECOND,
+    Advertise,
     Attach,
     Call,
     Deployment,
@@ -101,5 +102,7 @@
             return f"mark_health\t{int(good)}\t{int(stored)}"
         case Idle(span):
             return f"idle_limit\t{seconds(span)}"
+        case Advertise(value):
+            return f"advertise\t{value:.4f}"
         case Log(text):
             return f"record\t{text}"
--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -17,9 +17,9 @@
 # fmt: off
 # isort: off
 from .interface import (
-    NEVER_RAN, SECOND, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Gauges, GiveUp,
-    Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Override, Place, Profile, Refusal,
-    Remember, Shed, SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
+    NEVER_RAN, SECOND, Advertise, Attach, Below, Call, CallEnded, Deployment, Ended, Event, Forget, Gauges,
+    GiveUp, Go, Gone, Halt, Health, Idle, Kind, Log, NeedsCall, Notice, Outcome, Override, Place, Profile,
+    Refusal, Remember, Shed, SkipCall, Start, Stop, Tick, Transaction, Wait, Wish, WriteOff,
 )
 # isort: on
 # fmt: on
@@ -45,11 +45,9 @@
 IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
 HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one costs in this time
 HINT_RUNS, HINT_PRIOR = 200, 3.0  # runs that tell how good hints are; the weight of their being exact
-FLOOD, FLOOD_OVER = (
-    0.5,
-    0.25,
-)  # shed beyond told quotas, over what is served, at which a flood begins and ends
+FLOOD, FLOOD_OVER = 0.5, 0.25  # shed beyond told quotas, over served, at which a flood begins and is over
 RETURNS = 100  # the last returns of callers, by which idle limits are weighed
+LEVEL_SHED, LEVEL_STEP, LEVEL_MOST = 0.1, 0.02, 0.9  # shed over served at which the level rises, by a tick
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
 CALLS_KEPT = 0.33  # of the calls share, however slow calls are: by themselves or for the crowd
 
@@ -129,10 +127,9 @@
 
     def hear(self, caller: int, now: int) -> None:
         self.heard += 1
-        last = self.last_heard.pop(caller, None)
+        gap = now - self.last_heard.pop(caller, now - 2 * self.keepalive)
         self.last_heard[caller] = now
-        gap = 2 * self.keepalive if last is None else now - last
-        if last is None and self.callers and now - self.started < self.keepalive:
+        if gap > self.keepalive and self.callers and now - self.started < self.keepalive:
             # Not heard since the start need not mean a stranger: taken to come as often as all do.
             gap = min(gap, self.callers * max(SECOND, now - self.started) // self.heard)
         self.gaps.append(gap)
@@ -166,9 +163,8 @@
         number = min(number + 1, HINT_RUNS)
         from_cost, from_took = log(max(1, cost)) - cost_mean, log(max(1.0, took)) - took_mean
         self.means[profile] = (number, cost_mean + from_cost / number, took_mean + from_took / number)
-        keep = 1 - 1 / HINT_RUNS
-        self.variance = self.variance * keep + from_cost * from_cost * (1 - 1 / number)
-        self.covariance = self.covariance * keep + from_cost * from_took * (1 - 1 / number)
+        self.variance += from_cost * from_cost * (1 - 1 / number) - self.variance / HINT_RUNS
+        self.covariance += from_cost * from_took * (1 - 1 / number) - self.covariance / HINT_RUNS
         self.power = min(1.0, max(0.0, self.covariance / max(1e-9, self.variance)))
 
     def factor(self, profile: Profile, cost: int) -> float:
@@ -225,8 +221,9 @@
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
         self.turned, self.shed_ages, self.over_quota = (Ring(WINDOWS, WINDOW) for _ in range(3))
-        self.returns, self.use = CallerReturns(now, deployment.keepalive, deployment.callers), 1.0
+        self.returns = CallerReturns(now, deployment.keepalive, deployment.callers)
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
+        self.use, self.level = 1.0, 0.0
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
         self.plan, self.visiting = Override(0, 0, now, 1), Meter()
@@ -401,10 +398,7 @@
     # ---- the plan of the fleet: quotas told anew while in service --------------------------------------
 
     def take_over(self, plan: Override) -> bool:
-        """A plan comes into force, or the one in force is told on; an older one changes nothing.
-
-        Guards against a leader that has been followed by another, and against what comes late or twice.
-        """
+        """A plan comes into force, or the one in force is told on; an older or late one changes nothing."""
         age, held = (plan.epoch, plan.number), (self.plan.epoch, self.plan.number)
         if age < held or (age == held and plan.until <= self.plan.until):
             return False
@@ -477,10 +471,7 @@
 
     def may_keep(self, tx: Transaction) -> bool:
         """Whether what comes of it can be kept: the last of the room is not for who is past its quota, nor
-        for who has had more of its quota than all have together.
-
-        Guards against a store that one caller's surge fills for all, and against a disk that takes nothing.
-        """
+        for who has had more of its quota than all have together, so that no surge fills the store."""
         if tx.profile.kind is not Kind.LABELLED or self.labels_left > self.labels_scarce:
             return True
         if self.labels_left < 1 or tx.meter.delay(self.now, self.quota(tx.meter)):
@@ -739,9 +730,8 @@
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
-        used = gauges.cores_used
-        if used is None:
-            used = min(1.0, len(self.on_cores) / int(self.limit))
+        taken = min(1.0, len(self.on_cores) / int(self.limit))
+        used = taken if gauges.cores_used is None else gauges.cores_used
         self.busy = used >= BUSY
         self.use += (used - self.use) * TICK / SPAN
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
@@ -755,6 +745,7 @@
         self.move_limit()
         self.judge_health()
         self.close_idle()
+        self.set_level()
 
     def move_limit(self) -> None:
         """Up while the cores show room and work is held for longer than the gauge lags; down as runs slow."""
@@ -801,6 +792,14 @@
             self.idle = idle
             self.notices.append(Idle(idle))
 
+    def set_level(self) -> None:
+        """Callers that heed it keep lower ranks away: up while more than a little is shed, else down."""
+        much = self.hold and self.turned.total(self.now) > LEVEL_SHED * self.honoured_number.total(self.now)
+        level = min(LEVEL_MOST, max(0.0, self.level + (LEVEL_STEP if much else -LEVEL_STEP / 2)))
+        if self.site.levels and level != self.level:
+            self.level = level
+            self.notices.append(Advertise(level))
+
     def leave(self, end: int) -> None:
         self.shut, self.end = self.now + self.site.grace, end
         self.log("leaving")
--- a/birchslip/deployment.py
+++ b/birchslip/deployment.py
@@ -172,5 +172,6 @@
         advises=told.flag("ceilings.retry_after") and longest > 0,
         longest_advice=early(longest),
         callers=max(0, int(told.real("family_info.clients_total", usual.callers))),
+        levels=told.text("family_info.signal", "off") == "level",
         keepalive=late(max(0.01, told.real("family_info.keepalive_max_s", usual.keepalive / SECOND))),
     )
--- a/birchslip/interface.py
+++ b/birchslip/interface.py
@@ -84,6 +84,7 @@
     longest_advice: int = 0
     keepalive: int = 30 * SECOND
     callers: int = 0
+    levels: bool = False
     seed: int = 1
 
 
@@ -261,13 +262,20 @@
     span: int
 
 
+@dataclass(slots=True)
+class Advertise:
+    """The free value that goes with every answer from now on, where the deployment's callers heed a level."""
+
+    value: float
+
+
 @dataclass(slots=True)
 class Log:
     text: str
 
 
 Wish = Wait | Start | Call | SkipCall | Attach | Stop | Remember | Forget | Shed | WriteOff
-Notice = Tick | Health | Idle | Log
+Notice = Tick | Health | Idle | Advertise | Log
 WAITS = (Wait, Start, Call, SkipCall, Attach)
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from birchslip.brain import CALLS_KEPT, RETURNS
+from birchslip.brain import CALLS_KEPT, LEVEL_MOST, RETURNS
 from birchslip.interface import (
     SECOND,
+    Advertise,
     Below,
     CallEnded,
     Gone,
@@ -361,6 +362,34 @@
     assert limits == [100, 0, 0, 100]
 
 
+def advertised(desk):
+    return [told.value for told in desk.told if isinstance(told, Advertise)]
+
+
+def test_a_level_rises_while_work_is_shed_and_falls_back_to_nothing():
+    desk = Desk(profile(goal=20_000, deadline=40_000), cores=1, levels=True)
+    desk.at(0, desk.read(0), desk.read(0))
+    desk.brain.shed(desk.read(0))
+    for at in range(50, 5_000, 50):
+        desk.at(at, cpu=1.0)
+    risen = advertised(desk)
+    assert risen == sorted(risen) and risen[-1] == LEVEL_MOST
+    for at in range(5_000, 20_000, 50):
+        desk.at(at, cpu=0.0)
+    assert advertised(desk)[-1] == 0.0
+
+
+def test_no_level_is_told_where_callers_heed_none_or_nothing_is_shed():
+    heedless, calm = Desk(cores=1), Desk(cores=1, levels=True)
+    for desk, shed in ((heedless, 1), (calm, 0)):
+        desk.at(0, desk.read(0), desk.read(0))
+        for _ in range(shed):
+            desk.brain.shed(desk.read(0))
+        for at in range(50, 2_000, 50):
+            desk.at(at, cpu=1.0)
+        assert advertised(desk) == []
+
+
 @pytest.mark.parametrize(("callers", "last"), [(2, False), (500, True)], ids=["few", "many"])
 def test_a_shed_asks_not_to_be_tried_elsewhere_where_a_try_needs_a_new_connection(callers, last):
     desk = Desk(cores=1, advises=True, longest_advice=SECOND)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -110,6 +110,10 @@
         ("settings.family_info.keepalive_max_s", ..., lambda d: d.keepalive == 30 * SECOND),
         ("settings.family_info.keepalive_max_s", 15, lambda d: d.keepalive == 15 * SECOND),
         ("settings.family_info.keepalive_max_s", -1, lambda d: d.keepalive == SECOND // 100),
+        ("settings.family_info.signal", ..., lambda d: not d.levels),
+        ("settings.family_info.signal", "level", lambda d: d.levels),
+        ("settings.family_info.signal", "credit", lambda d: not d.levels),
+        ("settings.family_info.signal", "later word", lambda d: not d.levels),  # what is unknown is not used
         ("settings.family_info.clients_total", ..., lambda d: d.callers == 0),
         ("settings.family_info.clients_total", 40, lambda d: d.callers == 40),
         ("settings.family_info.clients_total", -3, lambda d: d.callers == 0),
