Leave room for chance in a derived quota

Line at fault: `quota`: twice an even share, which is one transaction or less there. The assumption that did not carry over: that a caller sends enough in ten seconds for twice the mean to say something.

Change: the share and its standard deviation, twice: 2 (1 + 1/sqrt(n)) even shares with n honoured transactions a caller. Also holds against a fleet that grows; may hurt where many callers with little each are to be told apart.

Where tenants' quotas are told it does not act.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -11,7 +11,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Generator, Iterator
-from math import ceil, exp, inf, log
+from math import ceil, exp, inf, log, sqrt
 from typing import Any
 
 # fmt: off
@@ -28,7 +28,7 @@
 LOOK = 40  # the hold is looked through at most once in 4 ms: under pressure that costs as much as the rest
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
 SPAN = WINDOWS * WINDOW
-QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
+QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured, before chance
 BUSY = 0.9  # the core gauge shows no room from here on
 SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
 LIMIT_TICK = 3 * SECOND // 2  # the core gauge fades over half a second: thrice that shows what is new
@@ -375,8 +375,8 @@
     def quota(self, meter: Meter) -> float:
         """A second's quota: the tenant's as told, or twice the caller's even share of the bytes honoured.
 
-        Never under an even share of what the running limit could serve: by chance alone a light one passes
-        less. None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
+        Never under an even share of what the running limit could serve, nor what chance alone may bring.
+        None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
         could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
         if meter is self.visiting:
@@ -386,13 +386,13 @@
             usual = max(meter.told, could_serve / heard)
             return usual + (meter.planned - usual) * self.force if meter.planned else usual
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
-        rate = max(QUOTA_SHARES * SECOND / (SPAN), could_serve / number)
+        rate = max(QUOTA_SHARES * (1 + sqrt(len(self.callers) / number)) / WINDOWS, could_serve / number)
         return rate * honoured / max(1, len(self.callers))
 
     def heaviness(self, tx: Transaction) -> float:
         """What its caller asked for, shed or not, beyond what chance alone explains, against its quota."""
         asked = tx.meter.asked.total(self.now)
-        beyond_chance = max(0.0, asked - (asked * (1 if tx.meter.told else tx.size)) ** 0.5)
+        beyond_chance = max(0.0, asked - sqrt(asked * (1 if tx.meter.told else tx.size)))
         return float(beyond_chance / (tx.meter.told or max(1.0, self.quota(tx.meter))))
 
     # ---- the plan of the fleet: quotas told anew while in service --------------------------------------
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -298,6 +298,21 @@
     return [told.span for told in desk.told if isinstance(told, Idle)][-1] // MS
 
 
+@pytest.mark.parametrize(
+    ("callers", "each", "shares"),
+    [(4, 100, 2.2), (4, 4, 3.0), (40, 1, 4.0)],
+    ids=["many", "some", "one each"],
+)
+def test_a_derived_quota_is_twice_an_even_share_and_what_chance_may_add(callers, each, shares):
+    desk = Desk(cores=1)
+    for caller in range(callers):
+        desk.brain.meter(desk.read(0, caller=caller))
+    desk.brain.honoured.add(0, callers * each * 1000)
+    desk.brain.honoured_number.add(0, callers * each)
+    in_a_window = desk.brain.quota(desk.brain.callers[0]) * 10
+    assert in_a_window == pytest.approx(shares * each * 1000)
+
+
 def test_chance_alone_does_not_make_a_light_tenant_pay():
     """Both have asked for 1.2 times their quota: twenty for the one, two hundred for the other."""
     light, heavy = Tenant(2.0), Tenant(20.0)
