Call it a flood when twice as much is shed as the cores could serve

Line at fault: `close_idle`.

Change: a flood is twice as many sheds in the window as the running limit could serve of the usual time, until they are no more than that. From there on sheds take more of the cores than a full table. It replaces the count of what is beyond quotas. Holds against any crowd, whoever sends it; may hurt light callers, whom a full table refuses as well.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -43,9 +43,9 @@
 BEGUN = 1.5  # running limits that may have begun: those at calls come back beside what runs
 CROWD_USED, MEMORY_USED = 0.6, 0.9  # of what the app server survives
 IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
-HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one costs in this time
+HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one does in this time
 HINT_RUNS, HINT_PRIOR = 200, 3.0  # runs that tell how good hints are; the weight of their being exact
-FLOOD, FLOOD_OVER = 0.5, 0.25  # shed beyond told quotas, over served, at which a flood begins and is over
+FLOOD, FLOOD_OVER = 2.0, 1.0  # shed over what the cores could serve, at which a flood begins and is over
 RETURNS = 100  # the last returns of callers, by which idle limits are weighed
 LEVEL_SHED, LEVEL_STEP, LEVEL_MOST = 0.1, 0.02, 0.9  # shed over served at which the level rises, by a tick
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
@@ -215,15 +215,14 @@
         self.calls_took, self.calls_ended = Ring(WINDOWS, PACE_SLICE), Ring(WINDOWS, PACE_SLICE)
         pace_slice = PACE_SLICE * deployment.cores
         self.spent, self.done = Ring(WINDOWS, pace_slice), Ring(WINDOWS, pace_slice)
-        self.call_time, self.core_clock, self.memory, self.next_look = 0.0, 0, 0, 0
-        self.stretch = self.stuck = self.allowed = 1.0
+        self.call_time, self.level, self.core_clock, self.memory, self.next_look = 0.0, 0.0, 0, 0, 0
+        self.stretch = self.stuck = self.allowed = self.use = 1.0
         # memory, labels, health and drain
         self.labels: list[tuple[int, int, Transaction]] = []
         self.watch: list[tuple[int, int, Transaction]] = []
-        self.turned, self.shed_ages, self.over_quota = (Ring(WINDOWS, WINDOW) for _ in range(3))
+        self.turned, self.shed_ages = (Ring(WINDOWS, WINDOW) for _ in range(2))
         self.returns = CallerReturns(now, deployment.keepalive, deployment.callers)
         self.good, self.idle, self.backlog, self.shut = True, -1, 0, inf
-        self.use, self.level = 1.0, 0.0
         self.end: int | None = None
         # the plan of the fleet, how far it holds still, and the share of the calls below
         self.plan, self.visiting = Override(0, 0, now, 1), Meter()
@@ -249,7 +248,6 @@
             return
         if not self.fits(tx, delay):
             self.uncount(tx)
-            self.over_quota.add(self.now, 1 if delay and tx.meter.told else 0)
             # The advice keeps away all that its caller carries: a tenant's delay is not its caller's. All
             # that a visitor carries is visiting.
             yield self.shed(tx, 0 if tx.meter.told and tx.meter is not self.visiting else delay)
@@ -378,7 +376,7 @@
         Never under an even share of what the running limit could serve, nor what chance alone may bring.
         None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
-        could_serve = self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
+        could_serve = self.could_serve()
         if meter is self.visiting:
             return meter.told / max(0.01, self.force)
         if meter.told:
@@ -389,6 +387,10 @@
         rate = max(QUOTA_SHARES * (1 + sqrt(len(self.callers) / number)) / WINDOWS, could_serve / number)
         return rate * honoured / max(1, len(self.callers))
 
+    def could_serve(self) -> float:
+        """Runs a second under the running limit, each of the usual time; 0 while that is not known."""
+        return self.limit * SECOND / self.all_runs.usual if self.all_runs.usual else 0.0
+
     def heaviness(self, tx: Transaction) -> float:
         """What its caller asked for, shed or not, beyond what chance alone explains, against its quota."""
         asked = tx.meter.asked.total(self.now)
@@ -776,12 +778,11 @@
     def close_idle(self) -> None:
         """Idle connections are closed where that costs less than the handshakes that it brings.
 
-        An idle connection slows only what runs meanwhile, so its price goes by the use of the cores. All stay
-        in a flood beyond told quotas: a full table refuses it before it costs a handshake and a reading.
+        In a flood all stay: a full table refuses what would cost a handshake and a reading before it is shed.
         """
-        served = self.honoured_number.total(self.now)
-        self.storm = self.turned.total(self.now) > served
-        self.flood = self.over_quota.total(self.now) > (FLOOD_OVER if self.flood else FLOOD) * served
+        shed, could_serve = self.turned.total(self.now), self.could_serve() * WINDOWS
+        self.storm = shed > self.honoured_number.total(self.now)
+        self.flood = 0 < could_serve * (FLOOD_OVER if self.flood else FLOOD) < shed
         if self.now < self.next_idle or len(self.returns.gaps) < 3 * FEW:
             return
         self.next_idle = self.now + SECOND
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
     Advertise,
     Below,
     CallEnded,
+    Ended,
     Gone,
     Halt,
     Health,
@@ -362,19 +363,20 @@
     assert idle_limit(desk) == limit
 
 
-def test_connections_stay_in_a_flood_beyond_told_quotas_until_it_is_over():
+@pytest.mark.parametrize(("known", "limits"), [(True, [100, 0, 0, 100]), (False, [100, 100, 100, 100])])
+def test_connections_stay_in_a_flood_until_it_is_over(known, limits):
+    """With 50 ms a run two hundred could be served in the window; without a run nothing is known of that."""
     desk = Desk(cores=1)
     for at in range(0, 16_000, 100):
         tx = desk.read(at, caller=at)
-        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
-    served = desk.brain.honoured_number.total(desk.now)
-    limits = []
-    for beyond in (0.4, 0.2, -0.3, -0.1):  # 0.4, 0.6, 0.3 and 0.2 of what is served
-        desk.brain.over_quota.add(desk.now, int(beyond * served))
+        desk.at(at, tx).at(at + 50, (tx, HONOURED if known else Ended(Outcome.RECALLED)), cpu=0.5)
+    seen = []
+    for more in (300, 200, -250, -100):  # 300, 500, 250 and 150 are shed in the window
+        desk.brain.turned.add(desk.now, more)
         desk.brain.next_idle = 0
         desk.brain.close_idle()
-        limits.append(desk.brain.idle // MS)
-    assert limits == [100, 0, 0, 100]
+        seen.append(desk.brain.idle // MS)
+    assert seen == limits
 
 
 def advertised(desk):
