--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,110 @@
+"""Connections and callers: idle limits, floods, who is asked not to try elsewhere, the level."""
+
+import pytest
+
+from birchslip.brain import LEVEL_MOST, RETURNS
+from birchslip.interface import SECOND, Advertise, Ended, Idle, Outcome
+
+from .desk import HONOURED, MS, Desk, profile
+
+
+def idle_limit(desk):
+    """The idle limit told last, in ms; 0 leaves connections open as long as callers do."""
+    return [told.span for told in desk.told if isinstance(told, Idle)][-1] // MS
+
+
+# few callers; many that each come once; the same in a storm of retries; a heavy caller among many light ones
+@pytest.mark.parametrize(
+    ("callers", "shed", "limit"),
+    [(2, 0, 0), (500, 0, 100), (500, 199, 100), (0, 0, 200)],
+    ids=["few", "many", "many in a storm", "one heavy among many"],
+)
+def test_the_idle_limit_is_the_cheapest_for_how_callers_came_back(callers, shed, limit):
+    desk = Desk(cores=1)
+    for at in range(0, 16_000, 100):
+        number = at // 100
+        caller = number % callers if callers else 0 if number % 4 else number
+        tx = desk.read(at, caller=caller)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
+    for _ in range(shed):
+        desk.brain.shed(desk.read(0))
+    desk.at(17_000, cpu=0.5)
+    assert idle_limit(desk) == limit
+    assert desk.brain.storm is (shed > 0)
+
+
+@pytest.mark.parametrize(("cpu", "limit"), [(1.0, 100), (0.1, 0)], ids=["busy", "idle cores"])
+def test_a_handshake_is_worth_a_longer_wait_while_the_cores_have_room(cpu, limit):
+    """Every caller comes back after 8 s: on busy cores its place costs more than its handshake."""
+    desk = Desk(cores=1)
+    for at in range(0, 60_000, 200):
+        desk.at(at, desk.read(at, caller=at // 200 % 40), cpu=cpu)
+    assert idle_limit(desk) == limit
+
+
+@pytest.mark.parametrize(("callers", "limit"), [(20, 6400), (2000, 100)], ids=["small fleet", "large fleet"])
+def test_a_first_contact_soon_after_the_start_is_a_stranger_only_among_many_callers(callers, limit):
+    desk = Desk(cores=1, callers=callers)
+    for at in range(0, 2_000, 100):
+        desk.at(at, desk.read(at, caller=at), cpu=1.0)
+    assert idle_limit(desk) == limit
+
+
+@pytest.mark.parametrize(("known", "limits"), [(True, [100, 0, 0, 100]), (False, [100, 100, 100, 100])])
+def test_connections_stay_in_a_flood_until_it_is_over(known, limits):
+    """With 50 ms a run two hundred could be served in the window; without a run nothing is known of that."""
+    desk = Desk(cores=1)
+    for at in range(0, 16_000, 100):
+        tx = desk.read(at, caller=at)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED if known else Ended(Outcome.RECALLED)), cpu=0.5)
+    seen = []
+    for more in (300, 200, -250, -100):  # 300, 500, 250 and 150 are shed in the window
+        desk.brain.turned.add(desk.now, more)
+        desk.brain.next_idle = 0
+        desk.brain.close_idle()
+        seen.append(desk.brain.idle // MS)
+    assert seen == limits
+
+
+def advertised(desk):
+    return [told.value for told in desk.told if isinstance(told, Advertise)]
+
+
+def test_a_level_rises_while_work_is_shed_and_falls_back_to_nothing():
+    desk = Desk(profile(goal=20_000, deadline=40_000), cores=1, levels=True)
+    desk.at(0, desk.read(0), desk.read(0))
+    desk.brain.shed(desk.read(0))
+    for at in range(50, 5_000, 50):
+        desk.at(at, cpu=1.0)
+    risen = advertised(desk)
+    assert risen == sorted(risen) and risen[-1] == LEVEL_MOST
+    for at in range(5_000, 20_000, 50):
+        desk.at(at, cpu=0.0)
+    assert advertised(desk)[-1] == 0.0
+
+
+def test_no_level_is_told_where_callers_heed_none_or_nothing_is_shed():
+    heedless, calm = Desk(cores=1), Desk(cores=1, levels=True)
+    for desk, shed in ((heedless, 1), (calm, 0)):
+        desk.at(0, desk.read(0), desk.read(0))
+        for _ in range(shed):
+            desk.brain.shed(desk.read(0))
+        for at in range(50, 2_000, 50):
+            desk.at(at, cpu=1.0)
+        assert advertised(desk) == []
+
+
+@pytest.mark.parametrize(("callers", "last"), [(2, False), (500, True)], ids=["few", "many"])
+def test_a_shed_asks_not_to_be_tried_elsewhere_where_a_try_needs_a_new_connection(callers, last):
+    desk = Desk(cores=1, advises=True, longest_advice=SECOND)
+    for at in range(0, 16_000, 100):
+        tx = desk.read(at, caller=at // 100 % callers)
+        desk.at(at, tx).at(at + 50, (tx, HONOURED), cpu=0.5)
+    assert desk.brain.shed(desk.read(16_000)).last is last
+
+
+def test_callers_are_remembered_for_no_longer_than_their_connections_last():
+    desk = Desk(cores=1, keepalive=5 * SECOND)
+    for at in range(0, 20_000, 100):
+        desk.at(at, desk.read(at, caller=at), cpu=0.5)
+    assert len(desk.brain.returns.last_heard) <= 51 and len(desk.brain.returns.gaps) == RETURNS
