Take an even share for at least one transaction, in place of leaving room for chance

Line at fault: `quota`: the root of a share leaves room where callers send two or three transactions each, too, and there the delays are what keeps the others in time.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -28,7 +28,7 @@
 LOOK = 40  # the hold is looked through at most once in 4 ms: under pressure that costs as much as the rest
 WINDOWS, WINDOW = 10, SECOND  # the source's windows
 SPAN = WINDOWS * WINDOW
-QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured, before chance
+QUOTA_SHARES = 2.0  # a derived quota, in even shares of the bytes honoured
 BUSY = 0.9  # the core gauge shows no room from here on
 SHORT_WAIT = 3000  # work held for longer than 300 ms counts as waiting
 LIMIT_TICK = 3 * SECOND // 2  # the core gauge fades over half a second: thrice that shows what is new
@@ -373,7 +373,7 @@
     def quota(self, meter: Meter) -> float:
         """A second's quota: the tenant's as told, or twice the caller's even share of the bytes honoured.
 
-        Never under an even share of what the running limit could serve, nor what chance alone may bring.
+        Never under an even share of what the running limit could serve, nor is a share less than one of them.
         None, that is 0, where nothing has been honoured: the cores are stuck, no caller is to blame.
         """
         could_serve = self.could_serve()
@@ -384,7 +384,7 @@
             usual = max(meter.told, could_serve / heard)
             return usual + (meter.planned - usual) * self.force if meter.planned else usual
         honoured, number = self.honoured.total(self.now), max(1, self.honoured_number.total(self.now))
-        rate = max(QUOTA_SHARES * (1 + sqrt(len(self.callers) / number)) / WINDOWS, could_serve / number)
+        rate = max(QUOTA_SHARES * max(1.0, len(self.callers) / number) / WINDOWS, could_serve / number)
         return rate * honoured / max(1, len(self.callers))
 
     def could_serve(self) -> float:
