Count it as a flood, too, when work has waited a second unread

Reading could not keep up with handshakes and readings of the retries; what is read that late is gone and not shed, so the count of sheds did not show it. Line at fault: `close_idle`, whose flood went by sheds alone.

Change: waiting unread for a second is a flood as well, until it is less than the short wait; a full table then refuses at no cost what reading can't keep up with. Holds against any cause of late reading, a slow machine too; may hurt where a machine was paused for a second: its connections then stay until the next look.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -45,7 +45,7 @@
 IDLE_LIMITS = tuple(SECOND // 10 << step for step in range(7, -1, -1))  # those weighed: 12.8 to 0.1 s
 HANDSHAKE_WORTH = SPAN // 2  # on busy cores a new connection costs what an idle one does in this time
 HINT_RUNS, HINT_PRIOR = 200, 3.0  # runs that tell how good hints are; the weight of their being exact
-FLOOD, FLOOD_OVER = 2.0, 1.0  # shed over what the cores could serve, at which a flood begins and is over
+FLOOD, FLOOD_OVER, UNREAD = 2.0, 1.0, SECOND  # a flood: shed over what the cores could serve; waited unread
 RETURNS = 100  # the last returns of callers, by which idle limits are weighed
 LEVEL_SHED, LEVEL_STEP, LEVEL_MOST = 0.1, 0.02, 0.9  # shed over served at which the level rises, by a tick
 CALL_ROOM = 2.0  # recent times of calls that must fit where a call may be left out: times scatter
@@ -732,8 +732,7 @@
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
-        taken = min(1.0, len(self.on_cores) / int(self.limit))
-        used = taken if gauges.cores_used is None else gauges.cores_used
+        used = len(self.on_cores) / int(self.limit) if gauges.cores_used is None else gauges.cores_used
         self.busy = used >= BUSY
         self.use += (used - self.use) * TICK / SPAN
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
@@ -782,7 +781,8 @@
         """
         shed, could_serve = self.turned.total(self.now), self.could_serve() * WINDOWS
         self.storm = shed > self.honoured_number.total(self.now)
-        self.flood = 0 < could_serve * (FLOOD_OVER if self.flood else FLOOD) < shed
+        bound, wait = (FLOOD_OVER, SHORT_WAIT) if self.flood else (FLOOD, UNREAD)
+        self.flood = self.backlog > wait or 0 < could_serve * bound < shed
         if self.now < self.next_idle or len(self.returns.gaps) < 3 * FEW:
             return
         self.next_idle = self.now + SECOND
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -66,6 +66,20 @@
     assert seen == limits
 
 
+def test_what_has_waited_unread_for_a_second_is_a_flood_until_it_waits_shortly():
+    """Reading can't keep up, so that what is read is late and hardly shed any more."""
+    desk = Desk(cores=1)
+    for at in range(0, 16_000, 100):
+        desk.at(at, desk.read(at, caller=at), cpu=0.5)
+    seen = []
+    for unread in (900, 1100, 400, 200):
+        desk.at(17_000, desk.read(17_000 - unread, caller=unread))
+        desk.brain.next_idle = 0
+        desk.brain.close_idle()
+        seen.append(desk.brain.idle // MS)
+    assert seen == [100, 0, 0, 100]
+
+
 def advertised(desk):
     return [told.value for told in desk.told if isinstance(told, Advertise)]
 
