Take no caller for a stranger near the start where the number of callers is not told

Seen: a full run of the checks failed three times, all in the small plays of real processes (`test_fleet_processes`): one false evacuation each; again alone, four. Line at fault: `CallerReturns.hear`: the lab tells no `clients_total`, and then each first contact counted as one that never comes back, so that connections were closed after a tenth of a second from the start on.

Change: where the number is not told, the callers heard so far stand for it. Holds against any deployment that leaves the setting out; may hurt a large fleet that does: early on it closes idle connections late.

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -129,9 +129,9 @@
         self.heard += 1
         gap = now - self.last_heard.pop(caller, now - 2 * self.keepalive)
         self.last_heard[caller] = now
-        if gap > self.keepalive and self.callers and now - self.started < self.keepalive:
-            # Not heard since the start need not mean a stranger: taken to come as often as all do.
-            gap = min(gap, self.callers * max(SECOND, now - self.started) // self.heard)
+        uptime = now - self.started
+        if gap > self.keepalive > uptime:  # not heard since the start: taken to come as often as all do
+            gap = min(gap, (self.callers or len(self.last_heard)) * max(SECOND, uptime) // self.heard)
         self.gaps.append(gap)
 
     def forget(self, now: int) -> None:
