Show no room without a gauge only once the running limit is reached, as before

Before, the limit had to be reached. Line at fault: `used` in `tick`. Now it is full or not, as it was; the new case fails without that (nine of ten).

--- a/birchslip/brain.py
+++ b/birchslip/brain.py
@@ -732,7 +732,7 @@
         ended = self.calls_ended.total(now)
         self.call_time = self.calls_took.total(now) / ended if ended else self.calls.usual
         self.allowed = self.allowed_calls()
-        used = len(self.on_cores) / int(self.limit) if gauges.cores_used is None else gauges.cores_used
+        used = len(self.on_cores) >= int(self.limit) if gauges.cores_used is None else gauges.cores_used
         self.busy = used >= BUSY
         self.use += (used - self.use) * TICK / SPAN
         # What waited unread has waited as well; by the time it is read it may be too late to be held.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,6 +6,7 @@
 from birchslip.interface import (
     Below,
     CallEnded,
+    Gauges,
     Gone,
     Halt,
     Health,
@@ -51,6 +52,14 @@
     assert desk.wishes(tx) == wish and desk.wishes(other) == []
 
 
+@pytest.mark.parametrize(("running", "busy"), [(9, False), (10, True)])
+def test_without_a_gauge_the_cores_show_no_room_once_the_limit_is_reached(running, busy):
+    desk = Desk(cores=10)
+    desk.at(0, *(desk.read(0) for _ in range(running)))
+    desk.driver.tick(Gauges(None))
+    assert len(desk.brain.on_cores) == running and desk.brain.busy is busy
+
+
 def test_what_is_shed_or_gone_is_taken_out_of_the_windows():
     desk = Desk(cores=1)
     running, gone = desk.read(0), desk.read(0)
