--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,12 +18,11 @@
     Vault,
     World,
     configuration,
-    temporary_folder,
+    run_case,
 )
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BROKEN = 3  # exit code; `run.sh` turns it into 1
 SEED = 50
 PLAY_S = 95
 REQUESTS_PER_S = 50
@@ -50,8 +49,8 @@
     return router.new_try(kind, ",".join(parts).encode(), 4400, key)
 
 
-async def play(world: World, folder: Path) -> None:
-    """Play the deployment."""
+async def play(world: World, folder: Path) -> tuple[bool, str]:
+    """Play the deployment; return whether the rule held, and the figures."""
     chance = random.Random(SEED)
     agent, catalog, vault = Agent(world, cores=6), Catalog(world), Vault(world, 16, *CALL_MS, SEED)
     for peer in (agent, vault, catalog):
@@ -78,10 +77,11 @@
         for task in side:
             task.cancel()
         server.stop()
+    return judge(world)
 
 
-def judge(world: World) -> bool:
-    """Note what broke the rule, and return whether it held."""
+def judge(world: World) -> tuple[bool, str]:
+    """Note what broke the rule; return whether it held, and the figures."""
     wrong = 0
     for attempt in world.tries.values():
         for call in attempt.calls.values():
@@ -90,26 +90,13 @@
                 word = attempt.answers[0][1] if attempt.answers else "not answered"
                 world.note(f"WRONG REPLY to {call.body.decode()}: {call.delivered}; its request: {word}")
     served = sum(bool(attempt.results) for attempt in world.tries.values())
-    world.finish(
+    if not served:
+        raise RuntimeError("nothing was served")
+    return not wrong, (
         f"{len(world.tries)} requests, {served} runs done, the link broken {world.counts['breaks']} times; "
         f"runs handed the reply of another call: {wrong}"
     )
-    if not served:
-        raise RuntimeError("nothing was served")
-    return not wrong
-
-
-def main() -> int:
-    """Return 0 if the rule held, `BROKEN` if it was broken, 2 if the case couldn't run."""
-    world = World(HERE)
-    try:
-        with temporary_folder() as folder:
-            asyncio.run(play(world, Path(folder)))
-        return 0 if judge(world) else BROKEN
-    except Exception as error:
-        print(f"could not run: {error!r}")
-        return 2
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, play))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -29,6 +29,7 @@
 MAX_LINE = 1 << 17
 GAUGES = ("core_use", "on_cores", "heap_share", "links")
 CROSSING_MS = 50  # a request that crosses a close within this time is sent once more
+BROKEN = 3  # exit code of a case, which `run.sh` turns into 1
 START_LIMIT_S = 30  # the users' limit for an app server to be ready
 
 
@@ -138,8 +139,9 @@
         self.file = (folder / "record.txt").open("w", encoding="utf-8")
 
     def note(self, text: str) -> None:
-        """Add a line to the record."""
-        print(now_ms(), text, file=self.file)
+        """Add a line to the record, unless it is finished."""
+        if not self.file.closed:
+            print(now_ms(), text, file=self.file)
 
     def finish(self, verdict: str) -> None:
         """Add the verdict to the record and print it."""
@@ -657,6 +659,28 @@
             self.process.wait()
 
 
+def run_case(folder: Path, play: Callable[[World, Path], Awaitable[tuple[bool, str]]]) -> int:
+    """Play a case, which returns whether the rule held and its figures; return the exit code for `run.sh`.
+
+    The code is 0 if the rule held, `BROKEN` if it was broken and 2 if the case couldn't run. SIGTERM ends a
+    play as SIGINT does, so that the play ends the processes that it has started.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    world = World(folder)
+
+    async def run() -> tuple[bool, str]:
+        with temporary_folder() as own_folder:
+            return await play(world, Path(own_folder))
+
+    try:
+        held, figures = asyncio.run(run())
+    except (Exception, KeyboardInterrupt) as error:
+        print(f"could not run: {error!r}")
+        return 2
+    world.finish(figures)
+    return 0 if held else BROKEN
+
+
 TAKEN_PORTS: set[int] = set()
 
 
