Count and log each order to the agent that is sent again, by its kind

By the log alone it can't be told whether an order was sent again, which, and how long after it was first written: pending orders were bare bytes, and only the number of open runs was logged.

A pending order is a `PendingOrder` with its kind and the time it was written (`net/agent_orders.py`). Counters `agent repeated_launch`, `repeated_freeze`, `repeated_deliver`, `repeated_forgo`; event `agent_order_repeated` with order, id and age. What is sent, and when, is as before. The test that pins the orders' bytes reads them from the typed orders now.

--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -14,6 +14,7 @@
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.silent agent.declined agent.asides agent.malformed agent.samples "
+    "agent.repeated_launch agent.repeated_freeze agent.repeated_deliver agent.repeated_forgo "
     "vault.links vault.unreached vault.lost vault.malformed vault.strays "
     "catalog.reports catalog.missed catalog.malformed "
     "program.reloads program.not_reloaded"
--- a/birchslip/net/request_context.py
+++ b/birchslip/net/request_context.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from ..admission.types import Outcome, Request
+from .agent_orders import PendingOrder
 from .scheduler import Timer
 
 
@@ -111,7 +112,7 @@
     call_body: bytes = b""
     call_started_at: int = 0
     call_timer: Timer | None = None
-    pending_orders: bytes = b""
+    pending_orders: list[PendingOrder] = field(default_factory=list)
     router_timestamp: int = 0
 
     @property
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -20,6 +20,7 @@
 from typing import Any
 
 from ..admission.types import MS, Outcome
+from .agent_orders import OrderKind, PendingOrder, encode_line
 from .buffer import Buffer, MalformedMessageError
 from .connection import Connection, Connector
 from .counters import Counters
@@ -43,14 +44,6 @@
 }
 
 
-encode_json = json.JSONEncoder(separators=(",", ":")).encode  # `json.dumps` would create an encoder per order
-
-
-def encode_line(**parts: object) -> bytes:
-    """Encode a message to the agent as a line of JSON."""
-    return encode_json(parts).encode() + b"\n"
-
-
 def parse_number(value: float | str) -> float:
     """Convert a number in a message of the agent, which may be given as text, to a finite float.
 
@@ -155,42 +148,44 @@
 
     # ---- orders --------------------------------------------------------------------------------------------
 
-    def send_order(self, **parts: object) -> bytes:
-        """Encode an order, and send it if the link is synchronized.
+    def send_order(self, kind: OrderKind, context: RequestContext, **parts: object) -> PendingOrder:
+        """Create an order about the run of a request, and send it if the link is synchronized.
 
         Returns:
-            The encoded order. The caller keeps it among the pending orders of the run, which are sent again
-            on the next connection.
+            The order. The caller keeps it among the pending orders of the run, which are sent again on the
+            next connection.
         """
-        line = encode_line(**parts)
+        order = PendingOrder(kind, encode_line(op=kind.value, id=context.request_id, **parts))
         if self.link is not None and self.is_synchronized:
-            self.link.write(line)
-        return line
+            self.write_order(self.link, order)
+        return order
+
+    def write_order(self, link: Connection, order: PendingOrder) -> None:
+        """Write an order to a synchronized link."""
+        link.write(order.line)
+        order.written_at = self.scheduler.now
 
     def launch(self, context: RequestContext) -> None:
         """Order the agent to start the run of a request."""
         self.runs[context.request_id] = context
-        encoded_body = b64encode(context.body).decode()
-        context.pending_orders = self.send_order(
-            op="launch", id=context.request_id, **{"class": context.class_name}, body=encoded_body
-        )
+        body = b64encode(context.body).decode()
+        order = self.send_order(OrderKind.LAUNCH, context, **{"class": context.class_name}, body=body)
+        context.pending_orders = [order]
 
     def stop_run(self, context: RequestContext) -> None:
         """Order the agent to stop the run of a request."""
         # Appended, since the launch may not have reached the agent: both are sent again in that case.
-        context.pending_orders += self.send_order(op="freeze", id=context.request_id)
+        context.pending_orders.append(self.send_order(OrderKind.STOP, context))
 
     def deliver(self, context: RequestContext, reply: bytes) -> None:
         """Order the agent to pass the reply of a downstream call to the run that waits for it."""
-        context.pending_orders = self.send_order(
-            op="deliver", id=context.request_id, body=b64encode(reply).decode()
-        )
+        body = b64encode(reply).decode()
+        context.pending_orders = [self.send_order(OrderKind.DELIVER, context, body=body)]
 
     def skip_call(self, context: RequestContext) -> None:
         """Order the agent to let a run continue without the downstream call that it waits for."""
-        context.pending_orders = self.send_order(
-            op="forgo", id=context.request_id, seq=context.call_notice_number
-        )
+        order = self.send_order(OrderKind.SKIP_CALL, context, seq=context.call_notice_number)
+        context.pending_orders = [order]
 
     def request_gauges(self) -> None:
         """Request a sample of the gauges; close a link on which no message has arrived for too long.
@@ -208,7 +203,8 @@
         if self.unanswered_samples > MAX_UNANSWERED_SAMPLES and link.open:
             self.counters.count("agent.silent")
             link.close("no message from the agent")
-        self.send_order(op="sample", tag="tick")
+        if link.open and self.is_synchronized:
+            link.write(encode_line(op="sample", tag="tick"))
 
     def core_utilization(self) -> float | None:
         """Return the fraction of the cores in use, from 0 to 1, or None if no recent sample has it."""
@@ -357,7 +353,7 @@
         context = self.runs.get(request_id)
         if context is not None and order in ("launch", "deliver", "forgo"):
             del self.runs[request_id]
-            context.pending_orders = b""
+            context.pending_orders = []
             (self.on_launch_refused if order == "launch" else self.on_outcome_unknown)(context)
 
     def handle_greeting(self, is_cold: bool, age: int) -> None:
@@ -423,13 +419,13 @@
     def handle_call_request(self, request_id: str, notice_number: int, body: bytes) -> None:
         """Handle the notice that a run needs a downstream call; its pending orders are thereby answered."""
         context = self.runs[request_id]
-        context.pending_orders = b""
+        context.pending_orders = []
         self.on_call_needed(context, notice_number, body)
 
     def handle_outcome(self, request_id: str, outcome: Outcome, result: bytes, elapsed: int) -> None:
         """Handle the notice that a run has ended; its pending orders are thereby answered."""
         context = self.runs.pop(request_id)
-        context.pending_orders = b""
+        context.pending_orders = []
         self.on_run_ended(context, outcome, result, elapsed)
 
     def handle_sample(self, tag: str, values: list[float]) -> None:
@@ -455,6 +451,19 @@
                 # The outcome of the run may be among the notices that are lost for good.
                 del self.runs[context.request_id]
                 self.on_outcome_unknown(context)
-            elif context.pending_orders:
-                self.link.write(context.pending_orders)
+            else:
+                self.repeat_orders(self.link, context)
         self.has_notice_gap = False
+
+    def repeat_orders(self, link: Connection, context: RequestContext) -> None:
+        """Send the pending orders of a run on a new link, and log those that were sent before."""
+        for order in context.pending_orders:
+            if order.written_at is not None:
+                self.counters.count(f"agent.repeated_{order.kind.value}")
+                self.log.info(
+                    "agent_order_repeated",
+                    order=order.kind.value,
+                    id=context.request_id,
+                    ms_ago=(self.scheduler.now - order.written_at) // MS,
+                )
+            self.write_order(link, order)
--- a/tests/socket_harness.py
+++ b/tests/socket_harness.py
@@ -14,6 +14,7 @@
 
 from birchslip.admission.types import MS
 from birchslip.lab.toy import Router
+from birchslip.net.agent_orders import PendingOrder
 from birchslip.net.counters import Counters
 from birchslip.net.log import Log
 from birchslip.net.program import Program
@@ -79,7 +80,7 @@
         self.time = self.scheduler.now
         self.scheduler.clock = lambda: self.time
         self.orders = []
-        program.agent.send_order = lambda **parts: self.orders.append(parts) or b""
+        program.agent.send_order = self.record_order
         self.clients = program.clients
         if max_connections is not None:
             self.clients.max_connections = max_connections
@@ -91,6 +92,11 @@
         self.peers = []
         self.run_passes()
 
+    def record_order(self, kind, context, **parts):
+        """Record an order in place of sending it."""
+        self.orders.append({"op": kind.value, "id": context.request_id} | parts)
+        return PendingOrder(kind, b"")
+
     def run_passes(self, count=4, ms=0):
         """Advance the time by `ms`, wait until data sent by routers has arrived, then run `count` passes.
 
--- a/tests/test_socket_wire_record.py
+++ b/tests/test_socket_wire_record.py
@@ -67,10 +67,10 @@
 
 def to_agent(write):
     run = SimpleNamespace(
-        request_id=NAME, class_name="lookup", body=b"body", call_notice_number=5, pending_orders=b""
+        request_id=NAME, class_name="lookup", body=b"body", call_notice_number=5, pending_orders=[]
     )
     write(program().agent, run)
-    return run.pending_orders
+    return b"".join(order.line for order in run.pending_orders)
 
 
 def to_vault():
