Let the stand-in agents take a reply only for the call that a run waits for

By the protocol `deliver` is "the reply to the call that the run waits for", and `forgo` goes on "without the call that notice N asked for". Both stand-in agents (`lab/peers.py`, `lab/toy.py`) took either for any open run, whatever it waited for, so a test among them could not see an order that comes once too often.

A run remembers the notice that requested its call: `deliver` without one and `forgo` of another are ignored. The toy agent makes as many calls as its body says.

--- a/birchslip/lab/peers.py
+++ b/birchslip/lab/peers.py
@@ -100,6 +100,7 @@
         self.key = next((word[1:] for word in words if word.startswith("L")), "")
         self.reply = b""
         self.is_on_core = False
+        self.waiting_call: int | None = None  # number of the notice that requested the call it waits for
 
 
 class Agent(Peer):
@@ -205,7 +206,8 @@
     def handle_order(self, connection: Connection, order: dict[str, Any]) -> None:
         """Carry out one order of the app server.
 
-        An order that fits no run is answered with a refusal, except a repeated launch, which is ignored.
+        An order that fits no run is answered with a refusal, except a repeated launch, which is ignored. So
+        is a reply for a run that waits for no call, and a `forgo` of another call than it waits for.
         """
         run_id = order.get("id", "")
         run = self.runs.get(run_id)
@@ -231,10 +233,12 @@
             case "freeze" if run is not None:
                 self.finish_run(run, "aborted")
             case "deliver" if run is not None:
-                run.reply = b64decode(order["body"])
-                self.occupy_core(run, run.work // 2, self.finish_run)
+                if run.waiting_call is not None:
+                    run.reply = b64decode(order["body"])
+                    self.end_call(run)
             case "forgo" if run is not None:
-                self.occupy_core(run, run.work // 2, self.finish_run)
+                if run.waiting_call == order["seq"]:
+                    self.end_call(run)
             case "sample":
                 core_use = min(1.0, self.count_on_cores() / self.cores.count)
                 self.send(op="sampled", tag=order["tag"], values=[core_use, len(self.runs), 0.1, 1])
@@ -264,10 +268,16 @@
 
     def request_call(self, run: Run) -> None:
         """Ask the app server for the downstream call of a run."""
+        run.waiting_call = len(self.notices) + 1
         self.append_notice(
             op="request", id=run.run_id, body=b64encode(b"asked by " + run.run_id.encode()).decode()
         )
 
+    def end_call(self, run: Run) -> None:
+        """Let a run that waits for its call continue to its end."""
+        run.waiting_call = None
+        self.occupy_core(run, run.work // 2, self.finish_run)
+
     def finish_run(self, run: Run, outcome: str = "done") -> None:
         """End a run that still exists and notify the app server of its outcome and result.
 
--- a/birchslip/lab/toy.py
+++ b/birchslip/lab/toy.py
@@ -95,8 +95,9 @@
 class Agent(Peer):
     """An agent whose runs are sleeps.
 
-    The words of a request body say what a run does: a number is its duration in milliseconds, `call` makes a
-    downstream call halfway, `crash` makes it fail, and `hold` keeps it open until `finish_run`.
+    The words of a request body say what a run does: a number is its duration in milliseconds, each `call`
+    makes a downstream call, with equal parts of the duration before, between and after the calls, `crash`
+    makes it fail, and `hold` keeps it open until `finish_run`.
 
     Attributes:
         received: Orders received.
@@ -104,6 +105,8 @@
         refuses_launches: Whether each launch is answered with a refusal.
         notices: Notices sent so far, replayed to a new subscriber.
         runs: Words of the request body of each open run, by run id.
+        calls_left: How many calls each open run has still to request, by run id.
+        waiting_calls: Number of the notice that requested the call that a run waits for, by run id.
         launched_run_ids: Runs in the order of their launches.
         subscriber: Connection that notices are sent on; None without one.
     """
@@ -116,6 +119,8 @@
         self.lock = threading.RLock()
         self.notices: list[dict[str, Any]] = []
         self.runs: dict[str, list[str]] = {}
+        self.calls_left: dict[str, int] = {}
+        self.waiting_calls: dict[str, int] = {}
         self.bodies: dict[str, bytes] = {}
         self.replies: dict[str, bytes] = {}
         self.finished_run_ids: set[str] = set()
@@ -134,7 +139,8 @@
     def handle_order(self, connection: socket.socket, order: dict[str, Any]) -> None:
         """Carry out one order; the caller holds the lock.
 
-        An order that fits no run is answered with a refusal, except a repeated launch, which is ignored.
+        An order that fits no run is answered with a refusal, except a repeated launch, which is ignored. So
+        is a reply for a run that waits for no call, and a `forgo` of another call than it waits for.
         """
         run_id = order.get("id", "")
         match order["op"]:
@@ -150,16 +156,19 @@
                 self.launched_run_ids.append(run_id)
                 self.bodies[run_id] = body
                 self.runs[run_id] = body.decode("ascii", "replace").split()
-                self.schedule_end(run_id, "call" in self.runs[run_id])
+                self.calls_left[run_id] = self.runs[run_id].count("call")
+                self.schedule_step(run_id)
             case "launch":
                 pass
             case "freeze" if run_id in self.runs:
                 self.finish_run(run_id, "aborted")
             case "deliver" if run_id in self.runs:
-                self.replies[run_id] = b64decode(order["body"])
-                self.schedule_end(run_id, False)
+                if run_id in self.waiting_calls:
+                    self.replies[run_id] = self.replies.get(run_id, b"") + b64decode(order["body"])
+                    self.end_call(run_id)
             case "forgo" if run_id in self.runs:
-                self.schedule_end(run_id, False)
+                if self.waiting_calls.get(run_id) == order["seq"]:
+                    self.end_call(run_id)
             case "sample":
                 core_use = min(1.0, len(self.runs) / 2)
                 self.send(op="sampled", tag=order["tag"], values=[core_use, len(self.runs), 0.1, 1])
@@ -177,28 +186,35 @@
             for notice in self.notices[self.subscribed_from :]:
                 self.send(**notice)
 
-    def schedule_end(self, run_id: str, makes_call: bool) -> None:
-        """Schedule the next step of a run: its downstream call if `makes_call`, otherwise its end.
+    def schedule_step(self, run_id: str) -> None:
+        """Schedule the next step of a run: its next downstream call, or its end if none is left.
 
-        A run takes as many milliseconds as its first number says, 10 without one. A run with a call takes
-        half of them before the call and half after it. The end of a run with `hold` is not scheduled.
+        A run takes as many milliseconds as its first number says, 10 without one. The end of a run with
+        `hold` is not scheduled.
         """
         words = self.runs[run_id]
+        makes_call = self.calls_left[run_id] > 0
         if "hold" in words and not makes_call:
             return
         duration_s = next((int(word) for word in words if word.isdigit()), 10) / 1000
-        delay_s = duration_s / 2 if "call" in words else duration_s
+        delay_s = duration_s / (1 + words.count("call"))
         timer = threading.Timer(delay_s, self.request_call if makes_call else self.finish_run, (run_id,))
         timer.daemon = True
         timer.start()
 
     def request_call(self, run_id: str) -> None:
-        """Ask the app server for the downstream call of a run that is still open."""
+        """Ask the app server for the next downstream call of a run that is still open."""
         with self.lock:
             if run_id in self.runs:
-                self.append_notice(
-                    op="request", id=run_id, body=b64encode(b"asked by " + run_id.encode()).decode()
-                )
+                self.calls_left[run_id] -= 1
+                body = b64encode(b"asked by " + run_id.encode()).decode()
+                self.waiting_calls[run_id] = len(self.notices) + 1
+                self.append_notice(op="request", id=run_id, body=body)
+
+    def end_call(self, run_id: str) -> None:
+        """Let a run that waits for a call continue; the caller holds the lock."""
+        del self.waiting_calls[run_id]
+        self.schedule_step(run_id)
 
     def finish_run(self, run_id: str, outcome: str = "") -> None:
         """End a run that is still open, and notify the app server of its outcome and result.
@@ -209,6 +225,8 @@
             if run_id not in self.runs:
                 return
             words = self.runs.pop(run_id)
+            self.waiting_calls.pop(run_id, None)
+            del self.calls_left[run_id]
             outcome = outcome or ("crashed" if "crash" in words else "done")
             result = b"made of " + self.bodies.pop(run_id) + self.replies.pop(run_id, b"")
             self.finished_run_ids.add(run_id)
