Never send a reply to the agent twice: the run may wait for its next call by then

A `deliver` stayed pending until the run's next notice and was sent again on the next link, right after the answer to the fence (`Agent.finish_synchronization`). The fence shows what the run had asked for when the agent answered it. If the first `deliver` had arrived, the run works on, and may ask for its next call before the second one arrives; `deliver` names no call, so the agent takes it for the reply to that one. SIGHUP with a new address leads to the same code.

So the vault's client, which matches replies by id, is ruled out.

A reply that a link has taken whole is not sent again (`PendingOrder.may_be_repeated`); one that the system has not taken whole can't have arrived, and is sent on the next link. Where the class may do without a call, the run is ordered to skip it: `forgo` names the notice, so it changes nothing at a run that has the reply. Where it may not, the run goes on if it has the reply, and else ends with its request, which fails at its deadline. `launch` and `freeze` are sent again as before: a second one changes nothing. Why this suffices: only a `deliver` takes a run past a call, and none is written that another may have preceded.

The run asks for its second call between the fence's answer and the next order, every time: on a scripted link (test_agent_link, reset and new address, 0 to 1,000 ms after the reply) and among processes (test_program).

--- a/birchslip/admission/types.py
+++ b/birchslip/admission/types.py
@@ -57,6 +57,11 @@
     weight_without_call: float = 0.0
     priority_weight: float = 1.0
 
+    @property
+    def may_skip_calls(self) -> bool:
+        """Whether a run of this class may continue without its call downstream."""
+        return self.weight_without_call > 0
+
 
 @dataclass(eq=False, slots=True)
 class Tenant:
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -39,6 +39,8 @@
     Attributes:
         buffer: Bytes that were read and not yet consumed.
         unsent: Writes that are still to be sent, `unsent_bytes` in all.
+        written_bytes: Bytes that `write` has accepted since the connection was opened.
+        sent_bytes: How many of these the system has taken; the peer can't have received any others.
         open: Whether the socket is open; it stays open during a graceful close.
         linger_timer: Set during a graceful close; data received from then on is discarded.
         discarded_bytes: Bytes received since a graceful close began.
@@ -66,6 +68,7 @@
         self.buffer = Buffer(max_unread_bytes)
         self.unsent: deque[bytes] = deque()
         self.unsent_bytes = 0
+        self.written_bytes = self.sent_bytes = 0
         self.open = True
         self.flush_scheduled = False
         self.linger_timer: Timer | None = None
@@ -156,6 +159,7 @@
         if not self.open or self.linger_timer:
             return
         self.unsent.append(piece)
+        self.written_bytes += len(piece)
         self.adjust_unsent_bytes(len(piece))
         self.schedule_flush()
 
@@ -180,6 +184,7 @@
                 self.close(error.strerror or "broken")
                 return
             self.last_activity_at = self.scheduler.now
+            self.sent_bytes += sent
             self.adjust_unsent_bytes(-sent)
             while sent:
                 piece = self.unsent.popleft()
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -15,6 +15,7 @@
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.silent agent.declined agent.asides agent.malformed agent.samples "
     "agent.repeated_launch agent.repeated_freeze agent.repeated_deliver agent.repeated_forgo "
+    "agent.unconfirmed_replies "
     "vault.links vault.unreached vault.lost vault.malformed vault.strays "
     "catalog.reports catalog.missed catalog.malformed "
     "program.reloads program.not_reloaded"
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -234,6 +234,7 @@
             guard(self.run_dispatcher.mark_outcome_unknown),
         )
         self.agent.on_launch_refused = guard(self.run_dispatcher.on_launch_refused)
+        self.agent.on_reply_unconfirmed = guard(self.downstream_caller.on_reply_unconfirmed)
         self.vault.on_call_ended = guard(self.downstream_caller.on_call_ended)
         self.downstream_caller.guarded_on_timeout = guard(self.downstream_caller.on_timeout)
         self.signals, self.wakeup = socket.socketpair()
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -110,6 +110,8 @@
         on_run_ended: Called when a run has ended, with its outcome, result and duration.
         on_launch_refused: Called for a run that the agent refused to start.
         on_outcome_unknown: Called for a run whose outcome can no longer be known.
+        on_reply_unconfirmed: Called on a new link for a run that may or may not have received the reply of
+            its call on an earlier one, and that is not to be stopped. The reply is not sent again.
         on_unknown_run_ended: Called with the id, outcome and result of a run that is not among `runs`, as of
             an earlier incarnation of this app server.
     """
@@ -142,6 +144,7 @@
         self.on_run_ended: Callable[[RequestContext, Outcome, bytes, int], None]
         self.on_launch_refused: Callable[[RequestContext], None]
         self.on_outcome_unknown: Callable[[RequestContext], None]
+        self.on_reply_unconfirmed: Callable[[RequestContext], None]
         self.on_unknown_run_ended: Callable[[str, Outcome, bytes], None] = (
             lambda request_id, outcome, result: None
         )
@@ -157,14 +160,9 @@
         """
         order = PendingOrder(kind, encode_line(op=kind.value, id=context.request_id, **parts))
         if self.link is not None and self.is_synchronized:
-            self.write_order(self.link, order)
+            order.write_to(self.link, self.scheduler.now)
         return order
 
-    def write_order(self, link: Connection, order: PendingOrder) -> None:
-        """Write an order to a synchronized link."""
-        link.write(order.line)
-        order.written_at = self.scheduler.now
-
     def launch(self, context: RequestContext) -> None:
         """Order the agent to start the run of a request."""
         self.runs[context.request_id] = context
@@ -275,6 +273,9 @@
             return link.serve(lambda buffer: self.read_messages(link, buffer))
         finally:
             link.close("unhandled exception")
+            for context in self.runs.values():
+                for order in context.pending_orders:
+                    order.handle_link_lost(link)
 
     def read_messages(self, link: Connection, buffer: Buffer) -> None:
         """Process the complete messages in the buffer.
@@ -456,14 +457,21 @@
         self.has_notice_gap = False
 
     def repeat_orders(self, link: Connection, context: RequestContext) -> None:
-        """Send the pending orders of a run on a new link, and log those that were sent before."""
+        """Send the pending orders of a run on a new link, but for a reply that may have arrived before."""
+        unconfirmed_replies = [order for order in context.pending_orders if not order.may_be_repeated]
+        context.pending_orders = [order for order in context.pending_orders if order.may_be_repeated]
         for order in context.pending_orders:
             if order.written_at is not None:
                 self.counters.count(f"agent.repeated_{order.kind.value}")
-                self.log.info(
-                    "agent_order_repeated",
-                    order=order.kind.value,
-                    id=context.request_id,
-                    ms_ago=(self.scheduler.now - order.written_at) // MS,
-                )
-            self.write_order(link, order)
+                self.log_earlier_order("agent_order_repeated", context, order)
+            order.write_to(link, self.scheduler.now)
+        for order in unconfirmed_replies:
+            self.counters.count("agent.unconfirmed_replies")
+            self.log_earlier_order("agent_reply_unconfirmed", context, order)
+            if not context.pending_orders:
+                self.on_reply_unconfirmed(context)
+
+    def log_earlier_order(self, event: str, context: RequestContext, order: PendingOrder) -> None:
+        """Log an event about an order that was written to an earlier link."""
+        ms_ago = (self.scheduler.now - (order.written_at or 0)) // MS
+        self.log.info(event, order=order.kind.value, id=context.request_id, ms_ago=ms_ago)
--- a/birchslip/net/stages/downstream_caller.py
+++ b/birchslip/net/stages/downstream_caller.py
@@ -62,6 +62,15 @@
         self.counters.count("relay.skipped")
         self.agent.skip_call(context)
 
+    def on_reply_unconfirmed(self, context: RequestContext) -> None:
+        """Let a run that may lack the reply of its call continue without that call, if its class allows it.
+
+        The order names the notice of the call, so it changes nothing if the run has received the reply. A run
+        that may not skip its call either has the reply, or waits until its request is over.
+        """
+        if context.request.request_class.may_skip_calls and not context.is_answered:
+            self.agent.skip_call(context)
+
     def on_timeout(self, context: RequestContext) -> None:
         """End a call that has reached its timeout."""
         self.vault.cancel_call(context)
--- a/tests/socket_harness.py
+++ b/tests/socket_harness.py
@@ -9,6 +9,7 @@
 import os
 import select
 import socket
+import struct
 import termios
 from contextlib import suppress
 
@@ -189,6 +190,13 @@
             link.sendall(raw)
             wait_until_delivered(link)
 
+    def reset_links(self):
+        """Reset all accepted connections and forget them."""
+        for link, _ in self.links:
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            link.close()
+        self.links.clear()
+
     def close(self):
         """Close the listener and all connections."""
         for sock in (self.listener, *self.fillers, *(link for link, _ in self.links)):
--- a/tests/test_agent_link.py
+++ b/tests/test_agent_link.py
@@ -30,13 +30,14 @@
 
     Attributes:
         ends: Id and outcome of each run that ended.
+        unconfirmed: Requests whose run may or may not have received the reply of its call.
     """
 
     def __init__(self):
         super().__init__()
         self.server, self.agent_started_at = self.start_server(), self.time - 1000 * MS
         self.agent = Agent(*self.components, self.server.address, ["core_use"], 1 << 20)
-        self.ends = []
+        self.ends, self.unconfirmed = [], []
         self.agent.on_handshake = lambda cold, began: None
         self.agent.on_call_needed = lambda context, number, body: None
         self.agent.on_run_ended = lambda context, outcome, body, elapsed: self.ends.append(
@@ -44,6 +45,7 @@
         )
         self.agent.on_outcome_unknown = lambda context: self.ends.append((context.request_id, "doubt"))
         self.agent.on_launch_refused = lambda context: self.ends.append((context.request_id, "refused"))
+        self.agent.on_reply_unconfirmed = self.unconfirmed.append
         self.scheduler.spawn("agent", self.agent.maintain_link)
         self.greet()
 
@@ -73,6 +75,30 @@
         self.run_passes()
         return context
 
+    def request_call(self, context, number):
+        """Send the agent's notice that a run needs a call."""
+        self.send_line(line(op="request", seq=number, id=context.request_id, body=""))
+        self.run_passes()
+        assert self.agent.last_notice == number
+        context.call_notice_number = number
+
+    def lose_link(self, how):
+        """End the link as a restart of the agent's proxy or a new configuration does, and open a new one."""
+        if how == "reset":
+            self.server.reset_links()
+            self.run_passes()
+        else:
+            self.server = self.start_server()
+            self.agent.change_address(self.server.address)
+        self.greet()
+
+    def orders_on_link(self):
+        """Return the operation and the notice number, if any, of each order on the newest link."""
+        self.run_passes()
+        self.server.receive_all()
+        orders = [json.loads(order) for order in self.server.links[-1][1].splitlines()]
+        return [(order["op"], order.get("seq")) for order in orders if "id" in order]
+
     def sample_repeatedly(self, count, answered=False):
         """Request the gauges `count` times, one per tick, with an answer to each if `answered`."""
         for _ in range(count):
@@ -145,6 +171,109 @@
     assert linked.agent.last_notice == 1
 
 
+LINK_LOSSES = ["reset", "new address"]
+
+
+@pytest.fixture
+def waiting_run(linked):
+    """A run whose first call is requested, on a link that the test loses."""
+    context = linked.launch("a1")
+    linked.request_call(context, 1)
+    return context
+
+
+@pytest.mark.parametrize("how", LINK_LOSSES)
+@pytest.mark.parametrize("age_ms", [0, 45, 60, 1000])
+def test_reply_is_not_taken_for_that_of_next_call_after_link_loss(linked, waiting_run, how, age_ms):
+    """Guards against a second `deliver` of a reply that the run has, which answers its next call.
+
+    The run asks for that call after the fence was answered and before any further order arrives.
+    """
+    linked.agent.deliver(waiting_run, b"first")
+    assert linked.wait_for_data(linked.server, b'"deliver"')
+    linked.run_passes(ms=age_ms)
+    linked.lose_link(how)
+    linked.send_line(line(op="request", seq=2, id="a1", body=""))
+    linked.run_passes()
+    assert linked.orders_on_link() == []
+    assert linked.unconfirmed == [waiting_run]
+    assert linked.count("agent.unconfirmed_replies") == 1
+    linked.agent.deliver(waiting_run, b"second")
+    assert linked.orders_on_link() == [("deliver", None)]
+
+
+@pytest.mark.parametrize("how", LINK_LOSSES)
+def test_reply_that_came_without_link_is_delivered_on_next_one(linked, waiting_run, how):
+    """Guards against a reply that is lost with a link on which it never went out."""
+    linked.server.reset_links()
+    linked.run_passes()
+    assert not linked.agent.is_synchronized
+    linked.agent.deliver(waiting_run, b"first")
+    if how == "new address":
+        linked.lose_link(how)
+    else:
+        linked.greet()
+    assert linked.orders_on_link() == [("deliver", None)]
+    assert linked.unconfirmed == []
+
+
+def test_reply_that_system_has_not_taken_whole_is_delivered_on_next_link(linked, waiting_run):
+    """Guards against a reply that waits behind others to an agent that does not read."""
+    while linked.agent.link.unsent_bytes == 0:
+        context = linked.launch("filler")
+        context.body = b"x" * 100_000
+        linked.agent.launch(context)
+        linked.run_passes()
+    del linked.agent.runs["filler"]
+    linked.agent.deliver(waiting_run, b"first")
+    linked.run_passes()
+    linked.lose_link("new address")
+    assert linked.orders_on_link() == [("deliver", None)]
+    assert linked.unconfirmed == []
+
+
+def test_reply_written_as_link_closes_is_delivered_on_next_link(linked, waiting_run):
+    linked.agent.link.close("closed in this pass")
+    linked.agent.deliver(waiting_run, b"first")
+    linked.greet()
+    assert linked.orders_on_link() == [("deliver", None)]
+
+
+@pytest.mark.parametrize("how", LINK_LOSSES)
+def test_skipped_call_is_repeated_by_its_notice_on_each_link(linked, waiting_run, how):
+    linked.agent.deliver(waiting_run, b"first")
+    linked.run_passes()
+    linked.agent.on_reply_unconfirmed = linked.agent.skip_call
+    for _ in range(3):
+        linked.lose_link(how)
+        assert linked.orders_on_link() == [("forgo", 1)]
+    assert linked.count("agent.unconfirmed_replies") == 1
+    assert linked.count("agent.repeated_forgo") == 2
+
+
+def test_run_that_is_to_be_stopped_is_stopped_again_without_its_reply(linked, waiting_run):
+    linked.agent.deliver(waiting_run, b"first")
+    linked.agent.stop_run(waiting_run)
+    linked.run_passes()
+    linked.lose_link("reset")
+    assert linked.orders_on_link() == [("freeze", None)]
+    assert linked.unconfirmed == []
+
+
+@pytest.mark.parametrize("how", LINK_LOSSES)
+def test_launch_and_stop_are_repeated_in_order_on_each_link(linked, how):
+    context = linked.launch("a1")
+    linked.agent.stop_run(context)
+    linked.run_passes()
+    for _ in range(2):
+        linked.lose_link(how)
+        assert linked.orders_on_link() == [("launch", None), ("freeze", None)]
+    linked.send_line(line(op="outcome", seq=1, id="a1", end="aborted", ms=5, body=""))
+    linked.run_passes()
+    linked.lose_link(how)
+    assert linked.orders_on_link() == []
+
+
 def test_second_call_notice_cancels_call_in_progress(linked):
     vault_server = linked.start_server()
     vault = Vault(*linked.components, vault_server.address, 8)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -34,7 +34,14 @@
     """
 
     def __init__(
-        self, folder, vault_up=True, greets=True, catalog_up=True, arguments=("-m", "birchslip"), **options
+        self,
+        folder,
+        vault_up=True,
+        greets=True,
+        catalog_up=True,
+        arguments=("-m", "birchslip"),
+        agent=None,
+        **options,
     ):
         """Start the app server and wait until it listens and, if the agent greets it, until it serves.
 
@@ -44,9 +51,11 @@
             greets: Whether the agent sends its greeting.
             catalog_up: Whether the catalog accepts connections.
             arguments: Arguments of the Python interpreter.
+            agent: The agent; None starts an `Agent`.
             **options: Values that replace those of the example configuration.
         """
-        self.agent, self.vault, self.catalog = Agent(sends_greeting=greets), Vault(), Catalog()
+        self.agent = agent or Agent(sends_greeting=greets)
+        self.vault, self.catalog = Vault(), Catalog()
         if not vault_up:
             self.vault.stop()
         if not catalog_up:
@@ -226,6 +235,68 @@
     assert (counters["agent.links"], counters["agent.lost"], counters["book.honoured"]) == (2, 1, 2)
 
 
+class AgentLosingLink(Agent):
+    """An agent whose link breaks at the first reply to its run, which makes two calls.
+
+    The run asks for its second call right after the answer to the fence of the next link, so before any order
+    that the app server sends after that answer.
+
+    Attributes:
+        loses_reply: Whether the first reply is lost with the link.
+        is_link_lost: Whether the link has broken.
+        is_fence_answered: Whether the fence of the next link was answered.
+    """
+
+    def __init__(self, loses_reply):
+        super().__init__()
+        self.loses_reply, self.is_link_lost, self.is_fence_answered = loses_reply, False, False
+
+    def handle_order(self, connection, order):
+        if order["op"] == "deliver" and not self.is_link_lost:
+            if not self.loses_reply:
+                super().handle_order(connection, order)
+            self.is_link_lost, self.subscriber = True, None
+            self.close_connections()
+            return
+        super().handle_order(connection, order)
+        if self.is_link_lost and str(order.get("tag")).startswith("fence-"):
+            self.is_fence_answered = True
+            for run_id in self.runs.keys() - self.waiting_calls.keys():
+                self.request_call(run_id)
+
+    def schedule_step(self, run_id):
+        calls_left = self.calls_left[run_id]
+        if not calls_left:
+            self.finish_run(run_id)
+        elif calls_left == 2 or self.is_fence_answered:
+            self.request_call(run_id)
+
+
+@pytest.mark.parametrize(
+    ("loses_reply", "skip_worth", "result"),
+    [
+        pytest.param(False, 0.0, b"made of call call and paid and paid", id="received"),
+        pytest.param(False, 0.3, b"made of call call and paid and paid", id="received, call may be skipped"),
+        pytest.param(True, 0.3, b"made of call call and paid", id="lost, call may be skipped"),
+        pytest.param(True, 0.0, None, id="lost"),
+    ],
+)
+def test_run_gets_no_reply_of_another_call_after_agent_link_breaks(start, loses_reply, skip_worth, result):
+    """Guards against a reply that is sent again and taken for the reply of the next call."""
+    settings = json.loads(CONFIGURATION.read_text())["settings"]
+    settings["family_info"]["class_skip_worth"] = [skip_worth, 0.0]
+    server = start(agent=AgentLosingLink(loses_reply), settings=settings)
+    router = server.connect_router()
+    error, response = router.answer(router.call("lookup", b"call call", timeout="1500"))
+    assert (error, response) == ((None, [result, {}]) if result else (["Failed", {}], None))
+    counters = server.counters()
+    orders = [order["op"] for order in list(server.agent.received.queue)]
+    assert (counters["agent.links"], counters["relay.called"]) == (2, 2 if result else 1)
+    assert orders.count("deliver") == counters["relay.called"]
+    assert orders.count("forgo") == (skip_worth > 0)
+    assert counters["agent.unconfirmed_replies"] == 1
+
+
 def test_run_aborted_without_agent_link_is_stopped_on_next_link(start):
     """Otherwise the run would continue unnoticed beside the one started in its place."""
     server = start()
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -224,6 +224,20 @@
     assert pipeline.vault.calls[1:] == [("cancel_call",)]
 
 
+@pytest.mark.parametrize(
+    ("weight_without_call", "is_answered", "skips_call"),
+    [(0.3, False, True), (0.3, True, False), (0.0, False, False)],
+)
+def test_unconfirmed_reply_makes_run_skip_its_call_if_allowed(
+    pipeline, weight_without_call, is_answered, skips_call
+):
+    """Guards against a `forgo` that the site forbids, and against one for a request that is over."""
+    context = pipeline.make_context(kind=make_request_class(weight_without_call=weight_without_call))
+    context.is_answered = is_answered
+    pipeline.downstream_caller.on_reply_unconfirmed(context)
+    assert pipeline.agent.calls == [("skip_call",)] * skips_call
+
+
 def test_skipped_call_refers_to_its_notice(pipeline):
     context = pipeline.make_context()
     pipeline.downstream_caller.on_call_needed(context, 3, b"question")
