Decode the agent's messages into typed classes, in a module of their own

Change. net/agent_messages.py decodes a line into Greeting, Sample, Refusal, Remark, CallRequest or RunEnd; `Agent.handle_message` processes them by kind.

--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -3,25 +3,32 @@
 The connection is opened again whenever it is lost. The agent numbers its notices, and each is processed once.
 On a new connection the agent first repeats the notices that were missed. A gauge sample that is requested at
 the beginning, with a fence as its tag, marks where they end: only after its answer are orders sent again that
-no notice has answered. No run is started twice by this: the agent ignores the launch of a run that is active
-already, and the outcome of a run that has ended is among the repeated notices.
+no notice has answered, but for a reply that a run may have received (`PendingOrder.may_be_repeated`). No run
+is started twice by this: the agent ignores the launch of a run that is active already, and the outcome of a
+run that has ended is among the repeated notices.
 
 All times are in tenths of a millisecond unless a name says otherwise.
 """
 
 from __future__ import annotations
 
-import json
 from base64 import b64encode
-from binascii import a2b_base64
 from collections.abc import Callable
-from functools import partial
-from math import isfinite
-from typing import Any
 
 from ..admission.types import MS, Outcome
+from .agent_messages import (
+    AgentMessage,
+    CallRequest,
+    Greeting,
+    Notice,
+    Refusal,
+    Remark,
+    RunEnd,
+    Sample,
+    parse_message,
+)
 from .agent_orders import OrderKind, PendingOrder, encode_line
-from .buffer import Buffer, MalformedMessageError
+from .buffer import Buffer
 from .connection import Connection, Connector
 from .counters import Counters
 from .log import Log
@@ -35,55 +42,6 @@
 MAX_UNANSWERED_SAMPLES = 40
 MAX_GAUGE_AGE = 5_000  # 500 ms; older gauge values are not used
 START_TIME_TOLERANCE = 20_000  # 2 s; an agent that reports a start time later by more than this has restarted
-IS_COLD_BY_START_KIND = {"fresh": True, "seasoned": False}
-RUN_OUTCOMES = {
-    "done": Outcome.SERVED,
-    "crashed": Outcome.FAILED,
-    "aborted": Outcome.CANCELLED,
-    "stale": Outcome.SUPERSEDED,
-}
-
-
-def parse_number(value: float | str) -> float:
-    """Convert a number in a message of the agent, which may be given as text, to a finite float.
-
-    Raises:
-        ValueError: If it is not a finite number.
-        TypeError: If it is neither a number nor a text.
-        OverflowError: If it is an integer too large for a float.
-    """
-    number = float(value)
-    if not isfinite(number):
-        raise ValueError(f"number is not finite: {number}")
-    return number
-
-
-def parse_duration(milliseconds: float | str) -> int:
-    """Convert milliseconds in a message to tenths of a millisecond; raise the errors of `parse_number`."""
-    return int(parse_number(milliseconds) * MS)
-
-
-def parse_notice_number(message: dict[str, Any]) -> int:
-    """Return the number of a notice.
-
-    Raises:
-        KeyError: If it is absent.
-        ValueError: If it is not a whole number of at least 1.
-    """
-    notice_number = message["seq"]
-    if not isinstance(notice_number, int) or notice_number < 1:
-        raise ValueError(f"invalid notice number: {str(notice_number)[:40]!r}")
-    return notice_number
-
-
-def parse_body(message: dict[str, Any]) -> bytes:
-    """Decode the base64 body of a message; an absent body is empty.
-
-    Raises:
-        ValueError: If it is not valid base64.
-        TypeError: If it is not a text.
-    """
-    return a2b_base64(message.get("body") or "", strict_mode=True)
 
 
 class Agent:
@@ -285,90 +243,46 @@
         """
         while link.open and (line := buffer.read_line(MAX_LINE_BYTES)) is not None:
             self.unanswered_samples = 0
-            try:
-                action = self.parse_message(line)
-            except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
-                raise MalformedMessageError(f"{type(error).__name__}: {error}") from None
-            action()
-
-    def parse_message(self, line: bytes) -> Callable[[], None]:
-        """Validate a message and return the action that processes it.
-
-        All parts are checked before the action is called, so that a malformed message has no effect.
-
-        Raises:
-            ValueError, TypeError, KeyError, OverflowError, RecursionError: If the message is not valid.
-        """
-        message = json.loads(str(line, "utf-8"))
-        match message["op"]:
-            case "greeting":
-                return partial(
-                    self.handle_greeting, IS_COLD_BY_START_KIND[message["end"]], parse_duration(message["ms"])
-                )
-            case "sampled":
-                return partial(
-                    self.handle_sample,
-                    str(message["tag"]),
-                    [parse_number(value) for value in message["values"]],
-                )
-            case "refusal":
-                return partial(self.handle_refusal, str(message.get("end"))[:40], str(message.get("id"))[:40])
-            case "aside":
-                action = partial(self.handle_remark, str(message.get("end"))[:200])
-                return partial(self.handle_notice, parse_notice_number(message), None, action)
-            case "request":
-                action = partial(
-                    self.handle_call_request,
-                    str(message["id"]),
-                    parse_notice_number(message),
-                    parse_body(message),
-                )
-                return partial(self.handle_notice, parse_notice_number(message), str(message["id"]), action)
-            case "outcome":
-                outcome, elapsed = RUN_OUTCOMES[message["end"]], parse_duration(message["ms"])
-                request_id, result = str(message["id"]), parse_body(message)
-                action = partial(self.handle_outcome, request_id, outcome, result, elapsed)
-                return partial(
-                    self.handle_notice,
-                    parse_notice_number(message),
-                    request_id,
-                    action,
-                    partial(self.on_unknown_run_ended, request_id, outcome, result),
-                )
-            case unknown:
-                raise ValueError(f"unknown op: {str(unknown)[:40]!r}")
-
-    def handle_refusal(self, order: str, request_id: str) -> None:
+            self.handle_message(parse_message(line))
+
+    # ---- messages of the agent -----------------------------------------------------------------------------
+
+    def handle_message(self, message: AgentMessage) -> None:
+        """Process a message by its kind."""
+        match message:
+            case Greeting():
+                self.handle_greeting(message)
+            case Sample():
+                self.handle_sample(message)
+            case Refusal():
+                self.handle_refusal(message)
+            case notice:
+                self.handle_notice(notice)
+
+    def handle_refusal(self, refusal: Refusal) -> None:
         """Handle the agent's message that it did not carry out an order.
 
         After a refused `launch` the run never starts. After a refused `deliver` or `forgo` the agent no
         longer knows the run, so its outcome stays unknown. A refusal of another order is only counted and
         logged.
-
-        Args:
-            order: The `op` of the order.
-            request_id: Request whose run the order was about.
         """
+        order, request_id = refusal.order, refusal.request_id
         self.counters.count("agent.declined")
         self.log.fault("agent_order_refused", order=order, id=request_id)
         context = self.runs.get(request_id)
-        if context is not None and order in ("launch", "deliver", "forgo"):
+        if context is not None and order in (OrderKind.LAUNCH, OrderKind.DELIVER, OrderKind.SKIP_CALL):
             del self.runs[request_id]
             context.pending_orders = []
-            (self.on_launch_refused if order == "launch" else self.on_outcome_unknown)(context)
+            (self.on_launch_refused if order == OrderKind.LAUNCH else self.on_outcome_unknown)(context)
 
-    def handle_greeting(self, is_cold: bool, age: int) -> None:
+    def handle_greeting(self, greeting: Greeting) -> None:
         """Handle the first message of a connection, and send the fence that marks the last repeated notice.
 
         An agent that started later than the one before has lost its runs, and numbers its notices from 1.
-
-        Args:
-            is_cold: Whether the agent was cold when it started.
-            age: Time since its start.
         """
-        started_at = self.scheduler.now - max(0, age)
+        started_at = self.scheduler.now - max(0, greeting.age)
         if self.agent_started_at is None:
-            self.on_handshake(is_cold, started_at)
+            self.on_handshake(greeting.is_cold, started_at)
         elif started_at > self.agent_started_at + START_TIME_TOLERANCE:
             self.log.fault("agent_restarted")
             self.has_notice_gap, self.last_notice = True, 0
@@ -377,64 +291,56 @@
         if self.link is not None:
             self.link.write(encode_line(op="sample", tag=f"fence-{self.fence_number}"))
 
-    def handle_notice(
-        self,
-        notice_number: int,
-        request_id: str | None,
-        action: Callable[[], None],
-        unknown_run_action: Callable[[], None] = lambda: None,
-    ) -> None:
+    def handle_notice(self, notice: Notice) -> None:
         """Process a notice once, by its number.
 
         If notices before it are missing, a synchronized link is closed instead, and the agent repeats them on
         the next connection. On a link that is not synchronized they are lost, and the notice is processed.
-
-        Args:
-            notice_number: Number of the notice.
-            request_id: Request whose run the notice is about; None if it is about no run.
-            action: Processes the notice.
-            unknown_run_action: Processes the notice if the run is unknown.
         """
-        if notice_number <= self.last_notice:
+        number = notice.notice_number
+        if number <= self.last_notice:
             return
-        if notice_number > self.last_notice + 1:
+        if number > self.last_notice + 1:
             self.counters.count("agent.gaps")
             if self.is_synchronized and self.link is not None:
                 # The agent still has the missing notices, and repeats them on a new connection.
-                self.link.close(f"received notice {notice_number} after {self.last_notice}")
+                self.link.close(f"received notice {number} after {self.last_notice}")
                 return
-            self.log.fault("agent_notices_missing", last=self.last_notice, next=notice_number)
+            self.log.fault("agent_notices_missing", last=self.last_notice, next=number)
             self.has_notice_gap = True
-        self.last_notice = notice_number
-        if request_id is None or request_id in self.runs:
-            action()
-        else:
-            self.counters.count("agent.unknown")
-            unknown_run_action()
-
-    def handle_remark(self, text: str) -> None:
-        """Log a remark of the agent."""
-        self.counters.count("agent.asides")
-        self.log.fault("agent_remark", text=text)
-
-    def handle_call_request(self, request_id: str, notice_number: int, body: bytes) -> None:
+        self.last_notice = number
+        match notice:
+            case Remark(text=text):
+                self.counters.count("agent.asides")
+                self.log.fault("agent_remark", text=text)
+            case CallRequest(request_id=request_id) if request_id in self.runs:
+                self.handle_call_request(notice)
+            case RunEnd(request_id=request_id) if request_id in self.runs:
+                self.handle_run_end(notice)
+            case RunEnd():
+                self.counters.count("agent.unknown")
+                self.on_unknown_run_ended(notice.request_id, notice.outcome, notice.result)
+            case CallRequest():
+                self.counters.count("agent.unknown")
+
+    def handle_call_request(self, call_request: CallRequest) -> None:
         """Handle the notice that a run needs a downstream call; its pending orders are thereby answered."""
-        context = self.runs[request_id]
+        context = self.runs[call_request.request_id]
         context.pending_orders = []
-        self.on_call_needed(context, notice_number, body)
+        self.on_call_needed(context, call_request.notice_number, call_request.body)
 
-    def handle_outcome(self, request_id: str, outcome: Outcome, result: bytes, elapsed: int) -> None:
+    def handle_run_end(self, run_end: RunEnd) -> None:
         """Handle the notice that a run has ended; its pending orders are thereby answered."""
-        context = self.runs.pop(request_id)
+        context = self.runs.pop(run_end.request_id)
         context.pending_orders = []
-        self.on_run_ended(context, outcome, result, elapsed)
+        self.on_run_ended(context, run_end.outcome, run_end.result, run_end.elapsed)
 
-    def handle_sample(self, tag: str, values: list[float]) -> None:
+    def handle_sample(self, sample: Sample) -> None:
         """Store the gauges of a sample; one with the newest fence as its tag completes synchronization."""
-        if tag == f"fence-{self.fence_number}":
+        if sample.tag == f"fence-{self.fence_number}":
             self.finish_synchronization()
         self.counters.count("agent.samples")
-        self.gauge_values = dict(zip(self.gauge_names, values, strict=False))
+        self.gauge_values = dict(zip(self.gauge_names, sample.values, strict=False))
         self.gauges_received_at = self.scheduler.now
 
     def finish_synchronization(self) -> None:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -25,11 +25,11 @@
     StopRun,
     StoreKey,
 )
+from birchslip.net.agent_messages import RUN_OUTCOMES
 from birchslip.net.counters import Counters
 from birchslip.net.idempotency_table import RETENTION_SLACK, IdempotencyTable
 from birchslip.net.program import PHASE_TRANSITIONS, Phase, Program
 from birchslip.net.request_context import DecodedRequest, RequestContext, RunResult
-from birchslip.net.servers import RUN_OUTCOMES
 from birchslip.net.site import ServerConfig
 from birchslip.net.stages.action_dispatcher import ActionDispatcher
 from birchslip.net.stages.admission_stage import AdmissionStage
