Write no order to an agent link whose end has arrived, so that it goes out on the next

A reply that was written to a link that ends is not sent again since it may have arrived, and a request whose class needs its call then fails at its deadline. Some such replies are certain to be lost: those written in the pass in which the link's end arrives unread, as the system still takes bytes for a connection that the peer has closed.

Before a pass's orders are sent, the link to the agent is looked at for the end of the peer's side (POLLRDHUP; one system call for each pass with orders). If it has arrived, nothing is sent: the orders stay unsent and go out on the next link, replies too.

--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -7,6 +7,7 @@
 
 import errno
 import os
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 LINGER_TIMEOUT = 10_000  # a graceful close waits 1 s at most for the peer to close its side
 MAX_DISCARDED_BYTES = 65_536  # during a graceful close; a peer that sends more ignores the close
 CONNECT_TIMEOUT = 10_000  # after 1 s an attempt counts as refused
+PEER_CLOSED = select.POLLRDHUP | HANGUP_OR_ERROR
 
 
 class SendBufferPool:
@@ -60,9 +62,22 @@
         max_unread_bytes: int,
         max_unsent_bytes: int,
         pool: SendBufferPool | None = None,
+        sends_after_peer_closed: bool = True,
     ) -> None:
-        """Wrap a non-blocking socket; without a pool, it gets its own, limited to `max_unsent_bytes`."""
+        """Wrap a non-blocking socket.
+
+        Args:
+            scheduler: Scheduler whose tasks read and whose passes send.
+            sock: The socket.
+            max_unread_bytes: Largest size of the receive buffer.
+            max_unsent_bytes: Unsent bytes past which the peer reads too slowly.
+            pool: Counts the unsent bytes of several connections; None makes one with the limit
+                `max_unsent_bytes`.
+            sends_after_peer_closed: Whether to send to a peer that has closed its side; otherwise the
+                connection is closed, with what is unsent.
+        """
         self.scheduler, self.sock, self.max_unsent_bytes = scheduler, sock, max_unsent_bytes
+        self.sends_after_peer_closed = sends_after_peer_closed
         self.pool = pool or SendBufferPool(max_unsent_bytes)
         self.descriptor = sock.fileno()
         self.buffer = Buffer(max_unread_bytes)
@@ -172,6 +187,8 @@
     def flush(self) -> None:
         """Send as much as the socket takes; close the connection if too much is left unsent."""
         self.flush_scheduled = False
+        if self.open and not self.sends_after_peer_closed and self.has_peer_closed():
+            self.close("ended by the peer")
         while self.open and self.unsent:
             try:
                 if len(self.unsent) == 1:
@@ -201,6 +218,12 @@
                 self.shut_down_writing()
             self.scheduler.update_mask(self.descriptor, self.event_mask())
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the end of the peer's side or an error has arrived, perhaps behind unread data."""
+        poller = select.poll()
+        poller.register(self.descriptor, select.POLLRDHUP)
+        return any(events & PEER_CLOSED for _, events in poller.poll(0))
+
     def adjust_unsent_bytes(self, count: int) -> None:
         """Add `count`, which may be negative, to the number of unsent bytes here and in the pool."""
         self.unsent_bytes += count
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -180,8 +180,13 @@
             address = self.address
             self.connector = Connector(self.scheduler, address)
             try:
+                # A reply sent after the agent has closed is lost, but looks as if it might have arrived.
                 link = Connection(
-                    self.scheduler, self.connector.open(), 2 * MAX_LINE_BYTES, self.max_unsent_bytes
+                    self.scheduler,
+                    self.connector.open(),
+                    2 * MAX_LINE_BYTES,
+                    self.max_unsent_bytes,
+                    sends_after_peer_closed=False,
                 )
             except OSError as error:
                 self.log.fault("agent_unreachable", why=str(error))
--- a/tests/test_agent_link.py
+++ b/tests/test_agent_link.py
@@ -4,6 +4,8 @@
 """
 
 import json
+import select
+import socket
 
 import pytest
 
@@ -25,6 +27,13 @@
     return json.dumps(parts).encode() + b"\n"
 
 
+def wait_for_peer_close(connection):
+    """Wait until the end of the peer's side has arrived at a connection."""
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLRDHUP)
+    assert poll.poll(5000)
+
+
 class LinkedAgent(SchedulerHarness):
     """An `Agent` whose link is established: it was greeted, and missed notices were delivered.
 
@@ -239,6 +248,27 @@
     assert linked.orders_on_link() == [("deliver", None)]
 
 
+@pytest.mark.parametrize("unread", [b"", b'{"op":"sampled","tag":"tick","values":[0.5]}\n'])
+@pytest.mark.parametrize("ending", ["end of the stream", "reset"])
+def test_reply_is_not_written_to_link_whose_end_has_arrived(linked, waiting_run, ending, unread):
+    """Guards against a reply that is lost in a link that has ended, and then counts as perhaps received."""
+    link, _ = linked.server.links[-1]
+    if unread:
+        link.sendall(unread)
+    if ending == "reset":
+        linked.server.reset_links()
+    else:
+        link.shutdown(socket.SHUT_WR)
+        linked.server.links.clear()
+    wait_for_peer_close(linked.agent.link)
+    linked.agent.deliver(waiting_run, b"first")
+    linked.agent.link.flush()  # as at the end of a pass that polled its sockets before the end arrived
+    linked.greet()
+    link.close()
+    assert linked.orders_on_link() == [("deliver", None)]
+    assert linked.unconfirmed == []
+
+
 @pytest.mark.parametrize("how", LINK_LOSSES)
 def test_skipped_call_is_repeated_by_its_notice_on_each_link(linked, waiting_run, how):
     linked.agent.deliver(waiting_run, b"first")
