--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -368,11 +368,14 @@
         self.has_notice_gap = False
 
     def repeat_orders(self, link: Connection, context: RequestContext) -> None:
-        """Send the pending orders of a run on a new link, but for a reply that may have arrived before."""
+        """Send the pending orders of a run on a new link, but for a reply that may have arrived before.
+
+        Orders that may have arrived, and are repeated nevertheless, are counted and logged.
+        """
         unconfirmed_replies = [order for order in context.pending_orders if not order.may_be_repeated]
         context.pending_orders = [order for order in context.pending_orders if order.may_be_repeated]
         for order in context.pending_orders:
-            if order.written_at is not None:
+            if order.may_have_arrived:
                 self.counters.count(f"agent.repeated_{order.kind.value}")
                 self.log_earlier_order("agent_order_repeated", context, order)
             order.write_to(link, self.scheduler.now)
