Write an order to each agent link once, however often the link is synchronized

Found by reading the related paths of the fault before: a fence that is answered twice, or a second greeting on one link, ran `Agent.finish_synchronization` again, and every pending order was written to the same link a second time, replies too. No peer was seen to do that: the protocol lets notices come twice, and a sample is none.

`PendingOrder.write_to` leaves out an order that was written to the link already; the loss of the link lets the next one take it.

Measured: the two new cases of test_agent_link failed before by a second `deliver`, and pass. The explorer's agent now answers samples twice at times; with orders written to a link again it finds a run that takes the wrong reply. 57 cases of test_agent_link, test_explore_agent_link and test_socket_wire_record pass.

--- a/birchslip/lab/explore_agent_link.py
+++ b/birchslip/lab/explore_agent_link.py
@@ -2,8 +2,8 @@
 
 The app server's side is the real `Agent`; the agent is a model of the published protocol. Links take a part
 of what is written, the agent carries out a part of what they took, and the rest is lost with them. Notices
-arrive in pieces, late or twice. Runs work on at any moment, also between the answer to a fence and the order
-that follows. After each order the explorer checks that
+and samples arrive in pieces, late or twice. Runs work on at any moment, also between the answer to a fence
+and the order that follows. After each order the explorer checks that
 
 - a run takes no reply but that of the call that it waits for;
 - no run is started twice;
@@ -34,7 +34,7 @@
 
 MAX_CALLS_OF_RUN = 3
 MAX_BYTES_TAKEN = 400  # a link takes up to this many bytes at a time, a few orders or a part of one
-# For each step of a link, notice, look for a run to stop, and call that may be skipped.
+# For each step of a link, notice or sample, look for a run to stop, and call that may be skipped.
 LINK_LOSS_PROBABILITY, DUPLICATE_PROBABILITY, STOP_PROBABILITY, SKIP_PROBABILITY = 0.015, 0.1, 0.1, 0.3
 STEPS_WITHOUT_LINK = 3  # at most
 MAX_STEPS_AT_END = 20_000  # after which a history that goes on counts as one without an end
@@ -171,7 +171,7 @@
                 for notice in self.notices[order["seq"] :]:
                     self.send(notice)
             case "sample":
-                self.send({"op": "sampled", "tag": order["tag"], "values": []})
+                self.send_at_times_twice({"op": "sampled", "tag": order["tag"], "values": []})
             case "launch" if run is None and self.started[request_id]:
                 self.notify(op="outcome", id=request_id, end="stale", ms=0)
             case "launch" if run is None:
@@ -209,11 +209,15 @@
         self.notify(op="outcome", id=request_id, end=outcome, ms=1)
 
     def notify(self, **notice: object) -> None:
-        """Give a notice its number, keep it and send it, at times twice."""
+        """Give a notice its number, keep it and send it."""
         notice["seq"] = len(self.notices) + 1
         self.notices.append(notice)
+        self.send_at_times_twice(notice)
+
+    def send_at_times_twice(self, message: dict[str, Any]) -> None:
+        """Send a message, with some probability two copies of it."""
         for _ in range(1 + (self.chance.random() < DUPLICATE_PROBABILITY)):
-            self.send(notice)
+            self.send(message)
 
     def send(self, message: dict[str, Any]) -> None:
         """Send a message on the newest link, if there is one."""
--- a/birchslip/net/agent_orders.py
+++ b/birchslip/net/agent_orders.py
@@ -48,8 +48,8 @@
     may_have_arrived: bool = False
 
     def write_to(self, link: Connection, now: int) -> None:
-        """Write the order to an open link."""
-        if link.open:
+        """Write the order to an open link, but once to each: the link may be synchronized more than once."""
+        if link.open and self.link_position is None:
             link.write(self.line)
             self.written_at, self.link_position = now, link.written_bytes
 
--- a/tests/test_agent_link.py
+++ b/tests/test_agent_link.py
@@ -269,6 +269,19 @@
     assert linked.unconfirmed == []
 
 
+@pytest.mark.parametrize("is_greeted_again", [False, True], ids=["fence answered twice", "greeted twice"])
+def test_reply_is_written_once_to_a_link_that_is_synchronized_twice(linked, waiting_run, is_greeted_again):
+    """Guards against a second `deliver` of a reply on the same link, which would answer the next call."""
+    linked.agent.deliver(waiting_run, b"first")
+    assert linked.wait_for_data(linked.server, b'"deliver"')
+    if is_greeted_again:
+        linked.send_line(line(op="greeting", end="seasoned", ms=1000))
+        linked.run_passes()
+    linked.send_line(line(op="sampled", tag=f"fence-{linked.agent.fence_number}", values=[0.5]))
+    linked.run_passes()
+    assert linked.orders_on_link() == [("launch", None), ("deliver", None)]
+
+
 @pytest.mark.parametrize("how", LINK_LOSSES)
 def test_skipped_call_is_repeated_by_its_notice_on_each_link(linked, waiting_run, how):
     linked.agent.deliver(waiting_run, b"first")
--- a/tests/test_explore_agent_link.py
+++ b/tests/test_explore_agent_link.py
@@ -7,6 +7,17 @@
 from birchslip.net.agent_orders import PendingOrder
 
 
+def forget_position(order, link):
+    """Let the next link take the order as if none had taken it."""
+    order.link_position = None
+
+
+def write_again(order, link, now):
+    """Write an order to a link whether it was written there or not."""
+    link.write(order.line)
+    order.written_at, order.link_position = now, link.written_bytes
+
+
 def test_no_run_takes_the_reply_of_another_call_or_waits_for_ever():
     totals = explore(range(400), 300)
     # Fewer would mean that the histories tried too little.
@@ -19,11 +30,12 @@
     ("message", "owner", "name", "replacement"),
     [
         ("took b'reply", PendingOrder, "may_be_repeated", property(lambda order: True)),
-        ("took b'reply", PendingOrder, "handle_link_lost", lambda order, link: None),
+        ("took b'reply", PendingOrder, "handle_link_lost", forget_position),
+        ("took b'reply", PendingOrder, "write_to", write_again),
         ("never end", PendingOrder, "may_be_repeated", property(lambda order: not order.may_have_arrived)),
         ("never end", AgentLinkExplorer, "on_reply_unconfirmed", lambda explorer, context: None),
     ],
-    ids=["replies repeated", "links forgotten", "no order repeated", "no call skipped"],
+    ids=["replies repeated", "links forgotten", "repeated on a link", "no order repeated", "no call skipped"],
 )
 def test_a_violation_is_found_without_one_of_the_rules(monkeypatch, message, owner, name, replacement):
     monkeypatch.setattr(owner, name, replacement)
