Leave the hot path of the decisions as it was: read the weight of a call there, no property

The mend had put the property `RequestClass.may_skip_calls` into `DownstreamCalls`, which asks it of every waiting call at each settlement. Whether it costs anything that can be measured on this machine was not found out; it need not be there.

--- a/birchslip/admission/downstream.py
+++ b/birchslip/admission/downstream.py
@@ -84,7 +84,7 @@
     def enqueue(self, request: Request) -> CallEntry:
         """Queue a request for its call; returns the entry to pass to `remove`."""
         request.state = RequestState.WAITING_FOR_CALL
-        is_skippable = request.request_class.may_skip_calls
+        is_skippable = request.request_class.weight_without_call > 0
         entry = CallEntry(is_skippable, request.latency_deadline, request.sequence, request)
         insort(self.waiting, entry)
         return entry
@@ -167,7 +167,7 @@
     def _is_wait_useless(self, request: Request, wait: float, now: int) -> bool:
         """Return whether a request should not wait for its call any longer."""
         request_class = request.request_class
-        if request_class.may_skip_calls and self.recent_time:
+        if request_class.weight_without_call and self.recent_time:
             remaining = self.times.remaining(request, self.health.slowdown)
             answer_at = now + wait + CALL_TIMES_TO_FIT * self.recent_time + remaining
             if answer_at >= self.deadlines.useful_until(request):
@@ -177,7 +177,7 @@
     def _timeout(self, request: Request, now: int) -> int:
         """Return the timeout of a call; a skippable call must leave time to finish the run without it."""
         time_left = request.deadline - now - TIMER_INTERVAL
-        if request.request_class.may_skip_calls:
+        if request.request_class.weight_without_call:
             remaining = self.times.remaining(request, self.health.slowdown)
             time_left = min(time_left, self.deadlines.useful_until(request) - now - ceil(remaining))
         if self.is_shared and self.quota < 1:
@@ -196,6 +196,6 @@
 
     def may_skip(self, request: Request, now: int) -> bool:
         """Return whether a request may continue without its call."""
-        if not request.request_class.may_skip_calls or request.is_answered:
+        if request.request_class.weight_without_call <= 0 or request.is_answered:
             return False
         return now < request.deadline - TIMER_INTERVAL
