--- a/review/common_2.py
+++ b/review/common_2.py
@@ -1,4 +1,4 @@
-"""Parts that the cases 6 to 9 share: processes of the deploy file, the record and the end of a case."""
+"""Parts that the cases 6 to 10 share: processes of the deploy file, the record and the end of a case."""
 
 from __future__ import annotations
 
