Release what ended requests hold in heaps at once, not at their deadline or retention

Cause: heaps ordered by time kept an entry until its time came, though what it belonged to had ended. The same cause stood in two heaps of the decisions: requests by deadline (`Deadlines.watched`, for all classes) and keys by the end of their retention (`MemoryBudget.keys`). A key whose launch was refused also kept its booked memory for the retention, so that refused launches alone could use up the memory of the decisions and have honest requests rejected.

Change: `ExpiryQueue` holds items by time and forgets removed ones; its heap is rebuilt when most of it is stale. All three use it; items expire in the order they did. `RunEnded.frees_key` tells the decisions that a run never began, so the booked memory of its key is released.

--- a/birchslip/admission/controller.py
+++ b/birchslip/admission/controller.py
@@ -144,11 +144,16 @@
         request.state = RequestState.ATTACHED
         self.deadlines.watch(request)
         event = yield AttachToOriginal()
-        request.state = RequestState.COMPLETED
-        self.memory.charge(request, 0)
+        self._end(request)
         if isinstance(event, WaitExpired):
             yield Fail()
 
+    def _end(self, request: Request) -> None:
+        """Release what a request that is over has held."""
+        request.state = RequestState.COMPLETED
+        self.memory.charge(request, 0)
+        self.deadlines.unwatch(request)
+
     def _admit(self, request: Request) -> Generator[Action, Event, int | None]:
         """Reject a request, or return the delay after which it may start."""
         is_late = request.arrived_at > self.deadlines.admits_until
@@ -194,8 +199,7 @@
         if isinstance(event, TurnGranted):
             return True
         self.quotas.uncount(request, self.now)
-        self.memory.charge(request, 0)
-        request.state = RequestState.COMPLETED
+        self._end(request)
         if is_keyed:
             self.memory.release_key(request)
             yield ReleaseKey()
@@ -217,8 +221,9 @@
                 event = yield from self._handle_expiry_or_disconnect(request, event)
         self.limit.release_core(request, self.now)
         self.limit.started_count -= 1
-        self.memory.charge(request, 0)
-        request.state = RequestState.COMPLETED
+        self._end(request)
+        if event.frees_key:
+            self.memory.release_key(request)
         self._record_run(request, event)
 
     def _call_downstream(self, request: Request) -> Generator[Action, Event, Event]:
--- a/birchslip/admission/deadlines.py
+++ b/birchslip/admission/deadlines.py
@@ -1,36 +1,27 @@
 """The time by which each request must be answered, and how a drain shortens it.
 
-This module owns the heap of open requests and the state of a drain. Every request is answered: `overdue`
+This module owns the queue of open requests and the state of a drain. Every request is answered: `overdue`
 yields those that are open at their deadline or shortly before the process ends.
 """
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterator
 from math import inf
-from typing import NamedTuple
 
+from .expiry_queue import ExpiryQueue
 from .types import Request, RequestState
 from .units import MS
 
 TIMER_INTERVAL = 50 * MS
 
 
-class WatchEntry(NamedTuple):
-    """Heap entry: the request with the earliest deadline comes first."""
-
-    answer_by: int
-    sequence: int
-    request: Request
-
-
 class Deadlines:
     """Deadlines of open requests and the end of the process."""
 
     def __init__(self) -> None:
         """Start without open requests and without a drain."""
-        self.watched: list[WatchEntry] = []
+        self.watched: ExpiryQueue[Request] = ExpiryQueue()
         self.admits_until = inf
         self.ends_at: int | None = None
 
@@ -46,8 +37,11 @@
 
     def watch(self, request: Request) -> None:
         """Add an open request, so that `overdue` yields it at its deadline."""
-        answer_by = request.deadline - TIMER_INTERVAL
-        heapq.heappush(self.watched, WatchEntry(answer_by, request.sequence, request))
+        self.watched.put(request, request.deadline - TIMER_INTERVAL)
+
+    def unwatch(self, request: Request) -> None:
+        """Remove a request that is over, so that it is not held in memory until its deadline."""
+        self.watched.remove(request)
 
     def useful_until(self, request: Request) -> int:
         """Return the time until which an answer has its full value and can still be sent."""
@@ -58,7 +52,6 @@
     def overdue(self, now: int) -> Iterator[Request]:
         """Yield the open requests that must be answered now."""
         is_ending = self.ends_at is not None and now >= self.ends_at - 2 * TIMER_INTERVAL
-        while self.watched and (is_ending or self.watched[0].answer_by <= now):
-            request = heapq.heappop(self.watched).request
+        for request in self.watched.take_expired(inf if is_ending else now):
             if request.state is not RequestState.COMPLETED and not request.is_answered:
                 yield request
--- a/birchslip/admission/memory_budget.py
+++ b/birchslip/admission/memory_budget.py
@@ -5,25 +5,17 @@
 
 from __future__ import annotations
 
-import heapq
 from math import ceil, inf
 from typing import NamedTuple
 
 from .deadlines import TIMER_INTERVAL
+from .expiry_queue import ExpiryQueue
 from .quota import Quotas
 from .types import AdmissionSettings, Idempotency, Request
 
 MEMORY_SHARE = 0.9  # of the memory limit, beyond which the app server does not survive
 
 
-class KeyEntry(NamedTuple):
-    """Heap entry: the key that expires first comes first."""
-
-    expires_at: int
-    sequence: int
-    request: Request
-
-
 class KeyCapacity(NamedTuple):
     """Room for keyed requests in the result store."""
 
@@ -40,7 +32,7 @@
         self.settings = settings
         self.quotas = quotas
         self.used = 0
-        self.keys: list[KeyEntry] = []
+        self.keys: ExpiryQueue[Request] = ExpiryQueue()
         self.key_capacity = KeyCapacity()
 
     def charge(self, request: Request, size: int) -> None:
@@ -86,16 +78,16 @@
         """Charge the memory of a request's key for the key's whole retention."""
         self.used += self.settings.idempotency_key_size
         request.holds_key = True
-        expires_at = now + request.request_class.key_retention + TIMER_INTERVAL
-        heapq.heappush(self.keys, KeyEntry(expires_at, request.sequence, request))
+        self.keys.put(request, now + request.request_class.key_retention + TIMER_INTERVAL)
 
     def release_key(self, request: Request) -> None:
         """Release the memory of a request's key; a second call has no effect."""
         if request.holds_key:
             request.holds_key = False
+            self.keys.remove(request)
             self.used -= self.settings.idempotency_key_size
 
     def expire_keys(self, now: int) -> None:
         """Release the memory of the keys whose retention is over."""
-        while self.keys and self.keys[0].expires_at <= now:
-            self.release_key(heapq.heappop(self.keys).request)
+        for request in self.keys.take_expired(now):
+            self.release_key(request)
--- a/birchslip/admission/types.py
+++ b/birchslip/admission/types.py
@@ -188,10 +188,15 @@
 
 @dataclass(slots=True)
 class RunEnded:
-    """The run of the request has ended; `elapsed` is the time since the run's start."""
+    """The run of the request has ended.
+
+    `elapsed` is the time since the run's start. `frees_key` says that the run never began and that its
+    idempotency key can be used again.
+    """
 
     outcome: Outcome
     elapsed: int = 0
+    frees_key: bool = False
 
 
 @dataclass(slots=True)
--- a/birchslip/net/idempotency_table.py
+++ b/birchslip/net/idempotency_table.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 
+from ..admission.expiry_queue import ExpiryQueue
 from ..admission.types import MS, Outcome
 from .request_context import IdempotencyEntry, RequestContext, RunResult
 
@@ -25,8 +25,7 @@
     Attributes:
         max_deadline: The longest deadline of all request classes.
         entries: The entries by key.
-        expiry_heap: When each entry may be removed, a serial number that breaks ties, and the entry.
-        last_serial: The last serial number in `expiry_heap`.
+        expiry_queue: The entries by the time from which each may be removed.
         find_earlier: Finds the entry of a key whose run was started by an earlier incarnation; finds nothing
             without a result store.
     """
@@ -40,8 +39,7 @@
         """
         self.max_deadline = max_deadline
         self.entries: dict[str, IdempotencyEntry] = {}
-        self.expiry_heap: list[tuple[int, int, IdempotencyEntry]] = []
-        self.last_serial = 0
+        self.expiry_queue: ExpiryQueue[IdempotencyEntry] = ExpiryQueue()
         self.find_earlier: Callable[[RequestContext], IdempotencyEntry | None] = lambda context: None
 
     def find(self, key: str, received_at: int) -> IdempotencyEntry | None:
@@ -63,8 +61,7 @@
 
     def schedule_expiry(self, entry: IdempotencyEntry) -> None:
         """Schedule the removal of an entry; called again whenever its `valid_until` moves."""
-        self.last_serial += 1
-        heapq.heappush(self.expiry_heap, (entry.valid_until + self.max_deadline, self.last_serial, entry))
+        self.expiry_queue.put(entry, entry.valid_until + self.max_deadline)
 
     def release(self, context: RequestContext, was_claimed: bool = False) -> list[RequestContext]:
         """Remove the entry of a request that never ran.
@@ -84,8 +81,8 @@
             or (not was_claimed and entry.stored_by is not context)
         ):
             return []
-        if self.entries.get(entry.key) is entry:
-            del self.entries[entry.key]
+        self.expiry_queue.remove(entry)
+        self.remove_entry(entry)
         waiters, entry.waiters = entry.waiters, []
         entry.detach(context, *waiters)
         return waiters
@@ -137,8 +134,10 @@
 
     def remove_expired(self, now: int) -> None:
         """Remove the entries that no request can repeat any more."""
-        while self.expiry_heap and self.expiry_heap[0][0] < now:
-            entry = heapq.heappop(self.expiry_heap)[2]
-            # An entry whose retention was extended is in the heap more than once: the latest time counts.
-            if entry.valid_until + self.max_deadline < now and self.entries.get(entry.key) is entry:
-                del self.entries[entry.key]
+        for entry in self.expiry_queue.take_expired(now - 1):
+            self.remove_entry(entry)
+
+    def remove_entry(self, entry: IdempotencyEntry) -> None:
+        """Remove an entry, unless its key has a later one by now."""
+        if self.entries.get(entry.key) is entry:
+            del self.entries[entry.key]
--- a/birchslip/net/stages/run_dispatcher.py
+++ b/birchslip/net/stages/run_dispatcher.py
@@ -96,7 +96,7 @@
         # Its repeats never ran either: all of them are rejected, so they may be retried.
         for waiter in (context, *self.idempotency_table.release(context, was_claimed=True)):
             self.response_recorder.send_rejection(waiter)
-            self.admission_stage.add_event(waiter, RunEnded(Outcome.SUPERSEDED))
+            self.admission_stage.add_event(waiter, RunEnded(Outcome.SUPERSEDED, frees_key=True))
 
     def stop(self, context: RequestContext) -> None:
         """Stop the run of a request, if it runs."""
@@ -113,9 +113,11 @@
         """End a run that the agent refused to launch: it never ran, so its key is free again."""
         self.counters.count("send.refused")
         self.response_recorder.release_key(context, was_claimed=True)
-        self.on_run_ended(context, Outcome.SUPERSEDED, b"", 0)
+        self.on_run_ended(context, Outcome.SUPERSEDED, b"", 0, frees_key=True)
 
-    def on_run_ended(self, context: RequestContext, outcome: Outcome, body: bytes, elapsed: int) -> None:
+    def on_run_ended(
+        self, context: RequestContext, outcome: Outcome, body: bytes, elapsed: int, frees_key: bool = False
+    ) -> None:
         """Complete a run that ended, once its result is recorded or can't be recorded in time.
 
         Args:
@@ -123,21 +125,28 @@
             outcome: How the run ended.
             body: The response body that it produced.
             elapsed: How long it ran, in tenths of a millisecond.
+            frees_key: Whether it never ran, so that its key can be used again.
         """
         self.counters.count(f"send.{outcome.value}")
         self.downstream_caller.cancel_call(context)
-        run_result = RunResult(outcome, body)
+        run_result, ended = RunResult(outcome, body), RunEnded(outcome, elapsed, frees_key)
         if context.idempotency_key and self.result_keeper is not None:
             self.result_keeper.record_completion(
-                context, run_result, lambda is_recorded: self.complete(context, run_result, elapsed)
+                context, run_result, lambda is_recorded: self.complete(context, run_result, ended)
             )
         else:
-            self.complete(context, run_result, elapsed)
+            self.complete(context, run_result, ended)
+
+    def complete(self, context: RequestContext, run_result: RunResult, ended: RunEnded) -> None:
+        """Answer a request whose run is over, and the repeats that were waiting for it.
 
-    def complete(self, context: RequestContext, run_result: RunResult, elapsed: int) -> None:
-        """Answer a request whose run is over, and the repeats that were waiting for it."""
+        Args:
+            context: The request.
+            run_result: What the run produced.
+            ended: The event for the admission decisions.
+        """
         waiters = self.idempotency_table.complete(context, run_result)
         self.response_recorder.complete(context, run_result)
-        self.admission_stage.add_event(context, RunEnded(run_result.outcome, elapsed))
+        self.admission_stage.add_event(context, ended)
         for repeat in waiters:
             self.response_recorder.share_result(repeat, run_result)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from birchslip.admission.types import (
+    MS,
     SECOND,
     AdmissionSettings,
     AttachToOriginal,
@@ -400,7 +401,7 @@
         pipeline.idempotency_table.complete(context, RunResult(Outcome.SERVED, b"x" * 4096))
         pipeline.clock.now += SECOND
     assert len(pipeline.idempotency_table.entries) <= 11
-    assert len(pipeline.idempotency_table.expiry_heap) <= 11
+    assert len(pipeline.idempotency_table.expiry_queue) <= 11
 
 
 @pytest.mark.parametrize(
@@ -408,12 +409,7 @@
 )
 def test_finished_request_is_freed_without_garbage_collection(pipeline, case):
     pipeline.agent = pipeline.run_dispatcher.agent = RecordingPeer()
-    pipeline.admission_stage.perform, pipeline.admission_stage.announce = (
-        pipeline.action_dispatcher.perform,
-        lambda notice: None,
-    )
-    pipeline.admission_stage.on_fault = pipeline.response_recorder.handle_fault
-    pipeline.admission_stage.start(AdmissionSettings([KEYED], cores=1), pipeline.clock.now)
+    start_admission(pipeline)
     gc.collect()
     gc.disable()
     try:
@@ -450,6 +446,44 @@
         gc.enable()
 
 
+def start_admission(pipeline):
+    """Connect the stages to admission control with one core, as the program does."""
+    pipeline.admission_stage.perform, pipeline.admission_stage.announce = (
+        pipeline.action_dispatcher.perform,
+        lambda notice: None,
+    )
+    pipeline.admission_stage.on_fault = pipeline.response_recorder.handle_fault
+    pipeline.admission_stage.start(AdmissionSettings([KEYED], cores=1), pipeline.clock.now)
+    return pipeline.admission_stage
+
+
+# Guards against memory that grows with each request until its deadline or the retention of its key is over,
+# although the request has ended (review case 6).
+@pytest.mark.parametrize("ending", ["taken back", "launch refused"])
+def test_ended_requests_are_not_kept_until_their_deadline_or_retention(pipeline, ending):
+    admission = start_admission(pipeline)
+    controller = admission.driver.controller
+    if ending == "taken back":  # they wait behind a run that goes on
+        admission.submit(pipeline.make_context("running", KEYED, "running"))
+        admission.process_pending()
+    used_before = controller.memory.used
+    watched = []
+    for number in range(1000):
+        context = pipeline.make_context(str(number), KEYED, f"key{number}")
+        watched.append(weakref.ref(context.request))
+        admission.submit(context)
+        admission.process_pending()
+        if ending == "taken back":
+            pipeline.response_recorder.on_caller_gone(context)
+        else:
+            pipeline.run_dispatcher.on_launch_refused(pipeline.agent.runs.pop(str(number)))
+        admission.process_pending()
+        pipeline.clock.now += MS
+    assert controller.memory.used == used_before
+    assert sum(ref() is not None for ref in watched) < 200
+    assert len(pipeline.idempotency_table.entries) <= 1
+
+
 # ---- exceptions and phases ---------------------------------------------------------------------------------
 
 
