Forget a repeat of a keyed request when its caller leaves, not when the run ends

Change: a request that is closed leaves the waiting repeats of its key (`stop_waiting`). One that admission control has started stays, as it needs the end of the run that it shares.

--- a/birchslip/net/idempotency_table.py
+++ b/birchslip/net/idempotency_table.py
@@ -83,7 +83,7 @@
             return []
         self.expiry_queue.remove(entry)
         self.remove_entry(entry)
-        waiters, entry.waiters = entry.waiters, []
+        waiters = entry.take_waiters()
         entry.detach(context, *waiters)
         return waiters
 
@@ -115,9 +115,19 @@
         if entry is None:
             return RunResult(Outcome.FAILED)
         if entry.result is None:
-            entry.waiters.append(context)
+            entry.waiters[context] = None
         return entry.result
 
+    def stop_waiting(self, context: RequestContext) -> None:
+        """Remove a request from the waiting repeats of its key; do nothing if it is not among them.
+
+        A request that admission control has started stays: it needs the end of the run that it shares.
+        """
+        entry = context.entry
+        if entry is not None and context in entry.waiters and not context.request.has_started:
+            del entry.waiters[context]
+            entry.detach(context)
+
     def complete(self, context: RequestContext, run_result: RunResult) -> list[RequestContext]:
         """Store the result of a run; do nothing if the attempt does not hold the claim.
 
@@ -128,7 +138,7 @@
         if entry is None or entry.claimed_by is not context:
             return []
         entry.result = run_result
-        waiters, entry.waiters = entry.waiters, []
+        waiters = entry.take_waiters()
         entry.detach(context, *waiters)
         return waiters
 
--- a/birchslip/net/request_context.py
+++ b/birchslip/net/request_context.py
@@ -143,7 +143,7 @@
         valid_until: The last time of receipt at which a request with this key is a repeat.
         claimed_by: The only attempt that may run, once there is one.
         result: The result of the run, once it is over.
-        waiters: Repeats that are answered when the run is over.
+        waiters: Repeats that are answered when the run is over, in the order of their arrival.
         matches_earlier_run: Set if the run was started by an earlier incarnation: whether an attempt has the
             same content as the request that ran.
     """
@@ -153,7 +153,7 @@
     valid_until: int
     claimed_by: RequestContext | None = None
     result: RunResult | None = None
-    waiters: list[RequestContext] = field(default_factory=list)
+    waiters: dict[RequestContext, None] = field(default_factory=dict)
     matches_earlier_run: Callable[[RequestContext], bool] | None = None
 
     @property
@@ -170,6 +170,11 @@
             return self.matches_earlier_run(context)
         return (self.original.body, self.original.class_name) == (context.body, context.class_name)
 
+    def take_waiters(self) -> list[RequestContext]:
+        """Remove and return the repeats that are waiting."""
+        waiters, self.waiters = list(self.waiters), {}
+        return waiters
+
     def detach(self, *contexts: RequestContext) -> None:
         """Remove this entry from contexts that need it no longer.
 
--- a/birchslip/net/stages/response_recorder.py
+++ b/birchslip/net/stages/response_recorder.py
@@ -61,6 +61,7 @@
         context.is_answered = True
         context.channel.open_requests.pop(context.message_id, None)
         self.open_request_ids.discard(context.request_id)
+        self.idempotency_table.stop_waiting(context)
         self.counters.count(f"book.{outcome}")
         if self.on_answered is not None:
             self.on_answered(context, outcome)
@@ -143,8 +144,7 @@
         A repeat with another content than the request that ran gets an error.
         """
         entry.result = run_result
-        waiters, entry.waiters = entry.waiters, []
-        for repeat in waiters:
+        for repeat in entry.take_waiters():
             self.share_result(repeat, run_result if entry.matches(repeat) else RunResult(Outcome.FAILED))
 
     def release_key(self, context: RequestContext, was_claimed: bool = False) -> None:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -484,6 +484,27 @@
     assert len(pipeline.idempotency_table.entries) <= 1
 
 
+# Guards against memory that grows while a keyed run goes on: repeats of it that were taken back stayed.
+def test_repeats_taken_back_are_not_kept_until_the_run_ends(pipeline):
+    admission = start_admission(pipeline)
+    admission.submit(pipeline.make_context("running", KEYED, "key"))
+    admission.process_pending()
+    watched = []
+    for number in range(500):
+        repeat = pipeline.make_context(str(number), KEYED, "key")
+        watched.append(weakref.ref(repeat.request))
+        admission.submit(repeat)
+        admission.process_pending()
+        pipeline.response_recorder.on_caller_gone(repeat)
+        admission.process_pending()
+    last = pipeline.make_context("last", KEYED, "key")
+    admission.submit(last)
+    admission.process_pending()
+    assert sum(ref() is not None for ref in watched) < 100
+    pipeline.run_dispatcher.on_run_ended(pipeline.agent.runs.pop("running"), Outcome.SERVED, b"made", 0)
+    assert last.channel.calls == [("send_result", 7, b"made")]
+
+
 # ---- exceptions and phases ---------------------------------------------------------------------------------
 
 
