Bound what is measured for callers' numbers, and free the buffer of a closed connection

Each number of a caller gets a meter for ten seconds and an entry for the keepalive time, so ever new numbers take memory at the rate at which they come, and the quota derived for every other caller sinks with their count. And a key that has run refers to its connection for the whole retention; if that was closed, its buffer of 2 to 32 KB stayed with it.

Change: at most 4,096 callers are measured, the least recently seen is dropped first; one connection adds at most eight, further numbers on it count as its first one. A connection that is closed frees its buffer.

--- a/birchslip/admission/idle_connections.py
+++ b/birchslip/admission/idle_connections.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 
 from .concurrency_limit import ConcurrencyLimit
-from .quota_meter import WINDOW_COUNT, WINDOW_SPAN
+from .quota_meter import MAX_CALLERS, WINDOW_COUNT, WINDOW_SPAN
 from .rejection_stats import RejectionStats
 from .types import AdmissionSettings
 from .units import MS, SECOND
@@ -36,7 +36,7 @@
         self.started_at = now
         self.keepalive_timeout = keepalive_timeout
         self.caller_count = caller_count
-        self.last_seen: dict[int, int] = {}
+        self.last_seen: OrderedDict[int, int] = OrderedDict()
         self.intervals: deque[int] = deque(maxlen=MAX_INTERVALS)
         self.request_count = 0
 
@@ -45,6 +45,8 @@
         self.request_count += 1
         interval = now - self.last_seen.pop(caller, now - 2 * self.keepalive_timeout)
         self.last_seen[caller] = now
+        if len(self.last_seen) > MAX_CALLERS:
+            self.last_seen.popitem(last=False)
         uptime = now - self.started_at
         if interval > self.keepalive_timeout > uptime:
             # First request since the start: assume the mean interval of all callers.
--- a/birchslip/admission/quota.py
+++ b/birchslip/admission/quota.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from math import ceil, sqrt
 
 from .concurrency_limit import ConcurrencyLimit
 from .plan_override import PlanState
-from .quota_meter import WINDOW_COUNT, WINDOW_LENGTH, WINDOW_SPAN, QuotaMeter
+from .quota_meter import MAX_CALLERS, WINDOW_COUNT, WINDOW_LENGTH, WINDOW_SPAN, QuotaMeter
 from .types import AdmissionSettings, PlanOverride, Request
 from .units import SECOND
 from .windows import WindowedCounter
@@ -29,7 +30,7 @@
         self.limit = limit
         self.plan = plan
         self.started_at = now
-        self.callers: dict[int, QuotaMeter] = {}
+        self.callers: OrderedDict[int, QuotaMeter] = OrderedDict()
         self.tenants = {tenant: QuotaMeter(tenant.quota / settings.fleet_size) for tenant in settings.tenants}
         self.evacuated = QuotaMeter()
         self.served_bytes = WindowedCounter(WINDOW_COUNT, WINDOW_LENGTH)
@@ -41,8 +42,10 @@
         This is the meter shared by evacuated callers, that of a tenant with a quota, or that of the caller.
         """
         # Callers are kept in the order of their last requests: `drop_idle_callers` drops from the front.
-        meter = self.callers.pop(request.caller) if request.caller in self.callers else QuotaMeter()
+        meter = self.callers.pop(request.caller, None) or QuotaMeter()
         self.callers[request.caller] = meter
+        if len(self.callers) > MAX_CALLERS:
+            self.callers.popitem(last=False)
         meter.last_seen_at = now
         if self.plan.weight and self.plan.is_evacuated(request):
             return self.evacuated
--- a/birchslip/admission/quota_meter.py
+++ b/birchslip/admission/quota_meter.py
@@ -14,6 +14,7 @@
 WINDOW_COUNT = 10
 WINDOW_LENGTH = SECOND
 WINDOW_SPAN = WINDOW_COUNT * WINDOW_LENGTH
+MAX_CALLERS = 4096  # measured at a time; callers can make up names faster than they expire
 
 
 class QuotaMeter:
@@ -22,6 +23,8 @@
     The amounts are numbers of requests if there is a configured quota, and bytes otherwise.
     """
 
+    __slots__ = ("admitted", "configured_quota", "last_seen_at", "planned_quota", "requested")
+
     def __init__(self, configured_quota: float = 0.0) -> None:
         """Start with empty windows; `configured_quota` is in requests a second here, 0 for none."""
         self.admitted = WindowedCounter(WINDOW_COUNT, WINDOW_LENGTH)
--- a/birchslip/admission/windows.py
+++ b/birchslip/admission/windows.py
@@ -19,6 +19,8 @@
 class WindowedCounter:
     """Sum of the amounts in the last `count` buckets, each of the length `span` in any unit of time."""
 
+    __slots__ = ("buckets", "slot", "span", "sum")
+
     def __init__(self, count: int, span: int) -> None:
         """Start with empty buckets at time 0."""
         self.buckets = [0] * count
--- a/birchslip/net/buffer.py
+++ b/birchslip/net/buffer.py
@@ -81,6 +81,11 @@
         self.start += count
         self.scanned = 0
 
+    def release(self) -> None:
+        """Drop the data and free its memory; called when the connection is closed."""
+        self.data = bytearray()
+        self.start = self.end = 0
+
     def take(self, count: int) -> bytes:
         """Consume `count` bytes and return a copy of them."""
         with memoryview(self.data) as view:
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -46,6 +46,9 @@
 MAX_NEED_KB = 2000  # memory that a request reserves; exclusive
 MAX_TIMEOUT_MS = 3_600_000  # no caller waits for an hour; also used where a request names no timeout
 MAX_OPEN_REQUESTS = 32  # per connection
+MAX_CALLERS_PER_CONNECTION = (
+    8  # a connection belongs to one router; further numbers get no quota of their own
+)
 MAX_UNSENT_BYTES = MAX_OPEN_REQUESTS * 5_120  # a response of the largest size for each open request
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_DELAY = 200  # 20 ms, when there is no room or the system has no descriptor left
@@ -169,6 +172,7 @@
 
     Attributes:
         open_requests: Requests without a response, by message id.
+        callers: The numbers of callers that requests named, up to `MAX_CALLERS_PER_CONNECTION`.
         highest_message_id: The highest id received; ids of requests must increase on a connection.
         closing_sent: Whether the router was notified that this connection closes.
     """
@@ -177,6 +181,7 @@
         """Wrap a connection that was accepted."""
         self.clients, self.connection = clients, connection
         self.open_requests: dict[int, RequestContext] = {}
+        self.callers: dict[int, None] = {}
         self.highest_message_id = 0
         self.closing_sent = False
 
@@ -223,7 +228,7 @@
                     self.clients.counters.count("clients.too_many")
                     self.send_error(message_id, f"more than {MAX_OPEN_REQUESTS} open transactions")
                 else:
-                    self.clients.on_request(self, message_id, partial(decode_request, method, params))
+                    self.clients.on_request(self, message_id, partial(self.decode_request, method, params))
             case [MessageType.NOTIFICATION, "abort", [int(message_id)]]:
                 context = self.open_requests.get(message_id)
                 if context is not None:
@@ -237,6 +242,19 @@
             case _:
                 raise MalformedMessageError("unknown type or form of message")
 
+    def decode_request(self, method: str, params: list[Any]) -> DecodedRequest:
+        """Decode a request; one with too many different callers on its connection counts as the first one's.
+
+        Raises:
+            InvalidInputError: If a field or the body is invalid; its text is sent to the router.
+        """
+        decoded = decode_request(method, params)
+        if len(self.callers) < MAX_CALLERS_PER_CONNECTION:
+            self.callers[decoded.caller] = None
+        elif decoded.caller not in self.callers:
+            decoded.caller = next(iter(self.callers))
+        return decoded
+
     # ---- responses -----------------------------------------------------------------------------------------
 
     def send_result(self, message_id: int, body: bytes) -> None:
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -271,6 +271,8 @@
             self.open, self.close_reason, self.on_malformed = False, self.close_reason or reason, None
             if self.linger_timer is not None:
                 self.linger_timer.cancel()
+            # The requests of a connection, and so the connection, may be in memory for much longer.
+            self.buffer.release()
             self.unsent.clear()
             self.adjust_unsent_bytes(-self.unsent_bytes)
             self.scheduler.unregister(self.descriptor)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,6 +4,7 @@
 
 from birchslip.admission.criticality import MAX_LEVEL
 from birchslip.admission.idle_connections import MAX_INTERVALS
+from birchslip.admission.quota_meter import MAX_CALLERS
 from birchslip.admission.types import (
     SECOND,
     AdvertiseCriticality,
@@ -143,6 +144,16 @@
     assert last_idle_timeout(harness) == 0
 
 
+# Guards against memory that grows with each new caller's number, and against quotas that sink with it.
+def test_number_of_measured_callers_is_bounded():
+    harness = DecisionHarness(cores=1)
+    for caller in range(2 * MAX_CALLERS):
+        harness.process_at(caller // 100, harness.make_request(caller // 100, caller=caller))
+    assert len(harness.controller.quotas.callers) == MAX_CALLERS
+    assert len(harness.controller.idle_connections.request_intervals.last_seen) == MAX_CALLERS
+    assert 2 * MAX_CALLERS - 1 in harness.controller.quotas.callers
+
+
 def test_callers_are_dropped_after_keepalive_timeout():
     harness = DecisionHarness(cores=1, keepalive_timeout=5 * SECOND)
     for at in range(0, 20_000, 100):
