Give each connection a bounded turn, and one with a backlog a pause after it

Honest requests of 20 ms took up to 77 ms with one such client, 128 ms with eight, and 110 to 123 of some 140 were sent and served.

Change: a connection has at most 16 messages, or 1,024 values in them, handled in a turn. What is left waits in its buffer, and nothing more is read from the socket, so the peer is held back by TCP. The next turn comes after three times the time that the last one took, 20 ms at most (a turn includes any time in which the process was stopped). At most eight connections are accepted in a pass.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
-from itertools import chain, islice
+from itertools import chain, count, islice
 from math import ceil
 from re import Pattern
 from typing import Any
@@ -32,7 +32,7 @@
 from .log import Log
 from .message_reader import MessageReader
 from .message_reader import read_messages as read_messages  # users of this package find it here
-from .messagepack import pack
+from .messagepack import IncompleteMessageError, pack
 from .request_context import DecodedRequest, RequestContext
 from .scheduler import READ, Scheduler
 
@@ -67,6 +67,9 @@
 MIN_LINGER_TIME_UNSENT = 2_000  # or 200 ms, if some are still unsent
 MAX_EVICTION_CANDIDATES = 8  # connections considered for one eviction
 MAX_FINAL_READS = 16  # before a connection is closed; one read may not take all that was received
+MAX_TURN_MESSAGES = 16  # that one connection has handled before the others get their turn
+MAX_TURN_VALUES = 1_024  # in these messages
+MAX_ACCEPTED_PER_TURN = 8  # connections
 SO_ATTACH_FILTER = 26  # Linux; not in the socket module
 # Classic BPF on a TCP header: loads the flags, drops the packet if SYN is set, else keeps it whole.
 DROP_SYN_FILTER = ((0x30, 0, 0, 13), (0x45, 0, 1, 2), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF))
@@ -168,17 +171,25 @@
         self.closing_sent = False
 
     def on_data(self, buffer: Buffer) -> None:
-        """Handle all complete messages in the buffer.
+        """Handle the complete messages in the buffer, as far as one turn goes.
+
+        The rest waits for the next turn, so that no connection keeps the others from theirs.
 
         Raises:
             MalformedMessageError: If the data is malformed; messages before it are handled.
         """
-        received, malformed_reason = read_messages(buffer, self.reader)
-        for message in received:
-            self.handle_message(message)
-        if malformed_reason:
-            raise MalformedMessageError(malformed_reason)
-        self.clients.on_messages_read(self, has_message=bool(received), has_partial=len(buffer) > 0)
+        message_count = value_count = 0
+        self.connection.has_backlog = False
+        try:
+            while len(buffer) and not self.connection.has_backlog:
+                message, values = self.reader.next_message(buffer)
+                message_count, value_count = message_count + 1, value_count + values
+                self.handle_message(message)
+                is_turn_over = message_count >= MAX_TURN_MESSAGES or value_count >= MAX_TURN_VALUES
+                self.connection.has_backlog = is_turn_over and len(buffer) > 0
+        except IncompleteMessageError:
+            pass
+        self.clients.on_messages_read(self, has_message=message_count > 0, has_partial=len(buffer) > 0)
 
     def handle_message(self, message: Any) -> None:
         """Handle a health check, a request or a notification.
@@ -377,18 +388,25 @@
                 self.scheduler.sleep(self.scheduler.now + ACCEPT_RETRY_DELAY)
             else:
                 self.scheduler.wait(self.listener.fileno(), READ)
-            if self.listener is not None and not self.accept_ready(self.listener):
+            limit = None if self.draining else MAX_ACCEPTED_PER_TURN
+            if self.listener is not None and not self.accept_ready(self.listener, limit):
                 self.scheduler.sleep(self.scheduler.now + ACCEPT_RETRY_DELAY)
 
-    def accept_ready(self, listener: socket.socket) -> bool:
+    def accept_ready(self, listener: socket.socket, limit: int | None = None) -> bool:
         """Accept the connections that wait in the system's queue, while there is room.
 
         While draining, closes the listener if the queue is empty and the time for that has come.
 
+        Args:
+            listener: The listening socket.
+            limit: The largest number to accept; None is no limit.
+
         Returns:
             False if the system has no descriptor or memory left.
         """
-        while self.has_room():
+        for _ in count() if limit is None else range(limit):
+            if not self.has_room():
+                break
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -423,7 +441,8 @@
         ):
             self.lingering.popitem(last=False)[0].connection.close("evicted to make room")
         client = Client(
-            self, Connection(self.scheduler, sock, self.max_unread_bytes, MAX_UNSENT_BYTES, self.pool)
+            self,
+            Connection(self.scheduler, sock, self.max_unread_bytes, MAX_UNSENT_BYTES, self.pool),
         )
         client.connection.on_malformed = client.on_malformed
         self.active[client] = self.awaiting_first_message[client] = None
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -21,6 +21,8 @@
 MAX_DISCARDED_BYTES = 65_536  # during a graceful close; a peer that sends more ignores the close
 CONNECT_TIMEOUT = 10_000  # after 1 s an attempt counts as refused
 PEER_CLOSED = select.POLLRDHUP | HANGUP_OR_ERROR
+TURN_PAUSE_FACTOR = 3  # a connection with a backlog waits for this multiple of the time that its turn took
+MAX_TURN_PAUSE = 200  # 20 ms; the time of a turn includes any in which this process was stopped
 
 
 class SendBufferPool:
@@ -43,6 +45,9 @@
         unsent: Writes that are still to be sent, `unsent_bytes` in all.
         written_bytes: Bytes that `write` has accepted since the connection was opened.
         sent_bytes: How many of these the system has taken; the peer can't have received any others.
+        has_backlog: Whether `on_data` has left complete messages in the buffer for a later turn. Nothing more
+            is read from the socket until then.
+        next_turn_at: When that turn begins.
         open: Whether the socket is open; it stays open during a graceful close.
         linger_timer: Set during a graceful close; data received from then on is discarded.
         discarded_bytes: Bytes received since a graceful close began.
@@ -63,6 +68,7 @@
         max_unsent_bytes: int,
         pool: SendBufferPool | None = None,
         sends_after_peer_closed: bool = True,
+        reads_after_peer_closed: bool = True,
     ) -> None:
         """Wrap a non-blocking socket.
 
@@ -75,15 +81,20 @@
                 `max_unsent_bytes`.
             sends_after_peer_closed: Whether to send to a peer that has closed its side; otherwise the
                 connection is closed, with what is unsent.
+            reads_after_peer_closed: Whether to read what a peer has sent before it closed its side; otherwise
+                the connection is closed as soon as that is known, with what is unread.
         """
         self.scheduler, self.sock, self.max_unsent_bytes = scheduler, sock, max_unsent_bytes
         self.sends_after_peer_closed = sends_after_peer_closed
+        self.reads_after_peer_closed = reads_after_peer_closed
         self.pool = pool or SendBufferPool(max_unsent_bytes)
         self.descriptor = sock.fileno()
         self.buffer = Buffer(max_unread_bytes)
         self.unsent: deque[bytes] = deque()
         self.unsent_bytes = 0
         self.written_bytes = self.sent_bytes = 0
+        self.has_backlog = False
+        self.next_turn_at = 0
         self.open = True
         self.flush_scheduled = False
         self.linger_timer: Timer | None = None
@@ -106,25 +117,35 @@
         Returns:
             The events, or 0 at the time `until` or if the connection was closed meanwhile.
         """
-        events = self.scheduler.wait(self.descriptor, self.event_mask(), until)
+        events = self.scheduler.wait(
+            self.descriptor, self.event_mask(), self.next_turn_at if self.has_backlog else until
+        )
+        if self.open and events & PEER_CLOSED and self.closes_with_peer():
+            self.close("ended by the peer")
         if self.open and events & WRITE:
             self.flush()
-        if self.open and events & (READ | HANGUP_OR_ERROR):
+        is_turn_due = self.has_backlog and self.scheduler.now >= self.next_turn_at
+        if self.open and (is_turn_due or events & (READ | HANGUP_OR_ERROR)):
             self.read(on_data)
         return events
 
     def read(self, on_data: Callable[[Buffer], None]) -> bool:
-        """Read once without waiting; close the connection if the data is malformed.
+        """Read once without waiting, or take the next turn of a backlog; close if the data is malformed.
 
         Returns:
-            Whether data was received and passed to `on_data`.
+            Whether there was data, which was passed to `on_data`.
         """
+        began_at = self.scheduler.update_clock()
         try:
-            return self.read_once(on_data)
+            had_data = self.read_once(on_data)
         except MalformedMessageError as error:
-            self.malformed = True
+            self.malformed, self.has_backlog = True, False
             (self.on_malformed or self.close)(str(error))
             return False
+        if self.has_backlog:
+            ended_at = self.scheduler.update_clock()
+            self.next_turn_at = ended_at + min(MAX_TURN_PAUSE, TURN_PAUSE_FACTOR * (ended_at - began_at))
+        return had_data
 
     def read_once(self, on_data: Callable[[Buffer], None]) -> bool:
         """Read once without waiting; an error of the socket closes the connection.
@@ -137,6 +158,9 @@
         """
         if not self.open:
             return False
+        if self.has_backlog:
+            on_data(self.buffer)
+            return True
         try:
             count = (
                 len(self.sock.recv(MAX_DISCARDED_BYTES)) if self.linger_timer else self.buffer.fill(self.sock)
@@ -232,7 +256,13 @@
     def event_mask(self) -> int:
         """Return the events to wait for, as a mask for `poll`."""
         # A socket at the end of its stream stays readable: polled for reads, it would wake every pass.
-        return (0 if self.peer_closed else READ) | (WRITE if self.unsent else 0)
+        is_read = not self.peer_closed and not self.has_backlog
+        closed = select.POLLRDHUP if self.closes_with_peer() else 0
+        return (READ if is_read else 0) | (WRITE if self.unsent else 0) | closed
+
+    def closes_with_peer(self) -> bool:
+        """Return whether the connection is to be closed as soon as the peer has closed its side."""
+        return not self.reads_after_peer_closed and self.linger_timer is None
 
     def close_gracefully(self, reason: str) -> None:
         """Begin to close the connection, so that the peer receives all that was written; return at once.
@@ -243,7 +273,8 @@
         with it.
         """
         if self.open and self.linger_timer is None:
-            self.close_reason = reason
+            self.close_reason, self.has_backlog = reason, False
+            self.buffer.release()
             self.linger_timer = self.scheduler.at(
                 self.scheduler.now + LINGER_TIMEOUT, lambda: self.close(reason)
             )
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from birchslip.net.clients import MAX_CALLERS_PER_CONNECTION, MAX_OPEN_REQUESTS
+from birchslip.net.clients import (
+    MAX_ACCEPTED_PER_TURN,
+    MAX_CALLERS_PER_CONNECTION,
+    MAX_OPEN_REQUESTS,
+    MAX_TURN_MESSAGES,
+    MAX_TURN_VALUES,
+    Client,
+)
+from birchslip.net.connection import MAX_TURN_PAUSE, TURN_PAUSE_FACTOR
+from birchslip.net.messagepack import pack
 
 from .socket_harness import ProgramHarness
 
@@ -41,3 +50,96 @@
     harness.disconnect(router)
     channel = harness.program.idempotency_table.entries[KEY].original.channel
     assert not channel.connection.buffer.data
+
+
+# ---- turns of connections ----------------------------------------------------------------------------------
+
+
+def pings_handled(harness):
+    return harness.program.counters.counts["clients.pings"]
+
+
+def send_pings(router, count, fields=()):
+    """Send health checks in one go, each with these fields."""
+    numbers = range(router.number + 1, router.number + 1 + count)
+    router.number += count
+    router.connection.sendall(b"".join(pack([0, number, "ping", [dict(fields)]]) for number in numbers))
+    return numbers
+
+
+def handled_in_next_pass(harness):
+    before = pings_handled(harness)
+    harness.run_passes(count=1)
+    return pings_handled(harness) - before
+
+
+# Guards against a client at full speed on one connection, which had all that it sent handled in one pass.
+@pytest.mark.parametrize("order", ["flood first", "flood last"])
+def test_flood_on_one_connection_leaves_others_their_turn(start, order):
+    harness = start()
+    flooder, honest = harness.connect_router(), harness.connect_router()
+    harness.run_passes()
+    if order == "flood first":
+        numbers, ping = send_pings(flooder, 400), honest.ping()
+    else:
+        ping, numbers = honest.ping(), send_pings(flooder, 400)
+    assert handled_in_next_pass(harness) == MAX_TURN_MESSAGES + 1
+    assert honest.answer(ping)[0] is None
+    for _ in range(30):
+        assert handled_in_next_pass(harness) <= MAX_TURN_MESSAGES
+    assert all(flooder.answer(number)[0] is None for number in numbers)
+
+
+def test_turn_is_shorter_if_messages_have_many_values(start):
+    harness = start()
+    router = harness.connect_router()
+    harness.run_passes()
+    values = {str(number): "" for number in range(60)}
+    send_pings(router, 16, values)
+    assert 0 < handled_in_next_pass(harness) <= MAX_TURN_VALUES // len(values) // 2 + 1
+
+
+@pytest.mark.parametrize("turn_ms", [1, 1000], ids=["usual", "process was stopped"])
+def test_connection_with_backlog_pauses_in_proportion_to_its_turn_within_bound(start, monkeypatch, turn_ms):
+    harness = start()
+    router = harness.connect_router()
+    harness.run_passes()
+    handle = Client.handle_message
+
+    def handle_slowly(client, message):
+        harness.time += turn_ms * 10 // MAX_TURN_MESSAGES + 1
+        handle(client, message)
+
+    monkeypatch.setattr(Client, "handle_message", handle_slowly)
+    send_pings(router, 100)
+    assert handled_in_next_pass(harness) == MAX_TURN_MESSAGES
+    pause_ms = min(MAX_TURN_PAUSE // 10, TURN_PAUSE_FACTOR * turn_ms)
+    harness.run_passes(ms=pause_ms - 1)
+    assert pings_handled(harness) == MAX_TURN_MESSAGES
+    harness.run_passes(ms=pause_ms // 2 + 2, count=1)
+    assert pings_handled(harness) == 2 * MAX_TURN_MESSAGES
+
+
+def test_malformed_data_behind_a_backlog_closes_the_connection_after_all_answers(start):
+    harness = start()
+    router = harness.connect_router()
+    numbers = send_pings(router, 40)
+    router.connection.sendall(b"\xc1")
+    harness.run_passes(count=8)
+    assert all(router.answer(number)[0] is None for number in numbers)
+    with pytest.raises(EOFError):
+        router.message()
+
+
+# Guards against hundreds of clients that connect at once and are all taken before the next request is read.
+def test_connections_are_accepted_a_few_in_each_pass(start):
+    harness = start()
+    honest = harness.connect_router()
+    harness.run_passes()
+    crowd = [harness.connect_router() for _ in range(5 * MAX_ACCEPTED_PER_TURN)]
+    honest.ping()
+    harness.run_passes(count=1)
+    assert pings_handled(harness) == 1
+    assert len(harness.clients.active) <= 1 + MAX_ACCEPTED_PER_TURN
+    harness.run_passes(count=6)
+    assert len(harness.clients.active) == 1 + len(crowd)
