Evict unfinished first messages before connections that are in use

Cause: a connection with half a message counted as in use, since "anything had arrived" on it, so the next candidate went: an idle connection, used 100 ms before. And while all silent ones were too young to be evicted, an idle one went at once.

Change: one that has sent no whole message is evicted after 200 ms, and from 50 ms on before an idle one that was used within 2 s; if silent ones are only too young yet, the newcomer waits in the system's queue. What has arrived on a candidate is still read first, and a whole message keeps it. `accept` waits for the listener before it looks for room, so a newcomer finds the state of that moment.

Of the three cases in tests/test_bad_clients.py all failed before.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -15,10 +15,10 @@
 import struct
 from array import array
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from functools import partial
-from itertools import chain, count, islice
+from itertools import count, islice, takewhile
 from math import ceil
 from re import Pattern
 from typing import Any
@@ -58,6 +58,7 @@
 MESSAGE_TIMEOUT = 20_000  # 2 s from the connection's start, or from a message's first byte, to its last byte
 MESSAGE_CHECK_INTERVAL = 2_000  # 200 ms between checks of the message timeout
 SILENT_EVICTION_AGE = 2_000  # a connection without a message is the first to be evicted after 200 ms
+IDLE_EVICTION_AGE = 20_000  # an idle one that was used within 2 s is evicted after all silent ones
 MIN_EVICTION_AGE = 500  # and is never evicted within 50 ms: its first request is on its way
 CLOSING_TIMEOUT = 20_000  # 2 s from the `closing` notification to the close, if no request is open
 DRAIN_CLOSING_TIMEOUT = 5_000  # 500 ms while draining: the process has a deadline, but routers may read late
@@ -376,20 +377,18 @@
         Without room for a connection, without a descriptor, and while draining, it retries every 20 ms.
         """
         while self.listener is not None:
-            if not self.has_room():
-                # New connections wait in the system's accept queue until one here ends. Meanwhile the poller
-                # must not report the listener as readable in each pass.
-                self.scheduler.unregister(self.listener.fileno())
-                self.scheduler.sleep(self.scheduler.now + ACCEPT_RETRY_DELAY)
-                continue
-            if self.draining:
-                # New handshakes are blocked, so the listener may never become readable again: polls it, to
-                # close it in time.
-                self.scheduler.sleep(self.scheduler.now + ACCEPT_RETRY_DELAY)
-            else:
+            if not self.draining:
                 self.scheduler.wait(self.listener.fileno(), READ)
+            if self.listener is None:
+                return
             limit = None if self.draining else MAX_ACCEPTED_PER_TURN
-            if self.listener is not None and not self.accept_ready(self.listener, limit):
+            if self.has_room() and self.accept_ready(self.listener, limit) and not self.draining:
+                continue
+            # New connections wait in the system's accept queue until one here ends. Meanwhile the poller must
+            # not report the listener as readable in each pass. While draining, new handshakes are blocked, so
+            # that the listener may never become readable again.
+            if self.listener is not None:
+                self.scheduler.unregister(self.listener.fileno())
                 self.scheduler.sleep(self.scheduler.now + ACCEPT_RETRY_DELAY)
 
     def accept_ready(self, listener: socket.socket, limit: int | None = None) -> bool:
@@ -534,47 +533,72 @@
             for client, since in islice(self.lingering.items(), 1):
                 if since > now - (MIN_LINGER_TIME_UNSENT if client.connection.unsent else MIN_LINGER_TIME):
                     return False
-        if len(self.active) < self.max_connections or self.idle:
+        if len(self.active) < self.max_connections or any(self.silent_for(MIN_EVICTION_AGE)):
             return True
-        return any(
-            self.awaiting_message[client] <= now - MIN_EVICTION_AGE
-            for client in islice(self.awaiting_first_message, 1)
+        # Silent ones that are too young to be evicted will be old enough before an idle one in use has to go.
+        return bool(self.idle) and (
+            not self.awaiting_first_message or self.is_long_idle(next(iter(self.idle)))
         )
 
     def evict_one(self) -> None:
         """Close one connection to make room for another.
 
         Silent connections must not keep routers out, and no request that has arrived unread may be lost.
-        Candidates are connections without a message that are older than `SILENT_EVICTION_AGE`, then idle
-        ones, the least recently used first, then younger ones without a message. Each is read before it is
-        closed, and stays if anything had arrived. If all stay, the first without an open request is closed.
+        Candidates are connections that have sent no whole message for `SILENT_EVICTION_AGE`, then idle ones,
+        the least recently used first, that were not used for `IDLE_EVICTION_AGE`, then younger ones without a
+        message, then the other idle ones. Each is read before it is closed, and stays if it has sent a whole
+        message or, if it is idle, anything. If all stay, the first without an open request is closed.
         """
-        silent = (
-            client
-            for client in self.awaiting_first_message
-            if self.awaiting_message[client] <= self.scheduler.now - SILENT_EVICTION_AGE
-        )
-        candidates = list(
-            islice(chain(silent, self.idle, self.awaiting_first_message), MAX_EVICTION_CANDIDATES)
+        groups: tuple[tuple[Iterator[Client], Callable[[Client], bool]], ...] = (
+            (self.silent_for(SILENT_EVICTION_AGE), self.evict_if_silent),
+            (takewhile(self.is_long_idle, self.idle), self.evict_if_unused),
+            (self.silent_for(MIN_EVICTION_AGE), self.evict_if_silent),
+            (iter(self.idle), self.evict_if_unused),
         )
-        victim = next(
-            (
-                client
-                for client in candidates
-                if self.close_if_idle(client, "evicted to make room", only_if_silent=True)
-            ),
-            None,
+        were_read: list[Client] = []
+        for candidates, evict_if_possible in groups:
+            for client in list(islice(candidates, MAX_EVICTION_CANDIDATES)):
+                if evict_if_possible(client):
+                    return
+                were_read.append(client)
+        for client in were_read:
+            if not client.open_requests:
+                self.evict(client)
+                return
+
+    def evict_if_silent(self, client: Client) -> bool:
+        """Evict a connection, unless it has sent a whole message by now; return whether it is evicted."""
+        self.read_pending(client)
+        if client in self.awaiting_first_message:
+            self.evict(client)
+        return client not in self.active
+
+    def evict_if_unused(self, client: Client) -> bool:
+        """Evict an idle connection, unless anything has arrived on it; return whether it is evicted."""
+        is_unused = not self.read_pending(client) and not len(client.connection.buffer)
+        if is_unused and not client.open_requests and client in self.active:
+            self.evict(client)
+        return client not in self.active
+
+    def evict(self, client: Client) -> None:
+        """Close a connection to make room for another, and count it."""
+        self.close_client(client, "evicted to make room")
+        self.counters.count("clients.made_room")
+
+    def silent_for(self, age: int) -> Iterator[Client]:
+        """Yield the connections that have not sent a complete message for `age` from their start."""
+        latest_start = self.scheduler.now - age
+        return takewhile(
+            lambda client: self.awaiting_message[client] <= latest_start, self.awaiting_first_message
         )
-        if victim is None and (
-            victim := next((client for client in candidates if not client.open_requests), None)
-        ):
-            self.close_client(victim, "evicted to make room")  # each had input: takes the first
-        if victim is not None:
-            self.counters.count("clients.made_room")
+
+    def is_long_idle(self, client: Client) -> bool:
+        """Return whether nothing was received or sent on an idle connection for `IDLE_EVICTION_AGE`."""
+        return client.connection.last_activity_at <= self.scheduler.now - IDLE_EVICTION_AGE
 
     # ---- closing one connection ----------------------------------------------------------------------------
 
-    def close_if_idle(self, client: Client, reason: str, only_if_silent: bool = False) -> bool:
+    def close_if_idle(self, client: Client, reason: str) -> bool:
         """Close a connection if it has no open request and no incomplete message.
 
         Data that has arrived is read first: a request that arrives at the moment of the close would be lost.
@@ -582,16 +606,13 @@
         Args:
             client: The connection.
             reason: Why it is closed.
-            only_if_silent: Whether it also stays open if anything was read now.
 
         Returns:
             Whether it is closed.
         """
-        had_input = self.read_pending(client)
+        self.read_pending(client)
         stays = client.connection.open and client in self.active
-        if stays and (
-            client.open_requests or len(client.connection.buffer) or (had_input and only_if_silent)
-        ):
+        if stays and (client.open_requests or len(client.connection.buffer)):
             return False
         self.close_client(client, reason)
         return True
@@ -645,6 +666,7 @@
         if self.listener is not None and not self.draining:
             self.draining, self.listener_closes_at = True, self.scheduler.now + FINAL_ACCEPT_DELAY
             block_new_handshakes(self.listener)
+            self.scheduler.wake(self.listener.fileno())  # from now on `accept` does not wait for the listener
             self.accept_ready(self.listener)
             self.scheduler.at(self.listener_closes_at, self.final_accept)
         for client in list(self.active):
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -143,3 +143,47 @@
     assert len(harness.clients.active) <= 1 + MAX_ACCEPTED_PER_TURN
     harness.run_passes(count=6)
     assert len(harness.clients.active) == 1 + len(crowd)
+
+
+# ---- eviction ----------------------------------------------------------------------------------------------
+
+
+# Guards against hundreds of clients that stop half way and, at the limit, have connections in use evicted.
+@pytest.mark.parametrize("age_ms", [60, 250], ids=["young", "old"])
+def test_unfinished_first_messages_are_evicted_before_connections_in_use(start, age_ms):
+    harness = start(max_connections=4)
+    honest = harness.connect_router()
+    ping = honest.ping()
+    harness.run_passes()
+    stalled = [harness.connect_router() for _ in range(3)]
+    for router in stalled:
+        router.connection.sendall(b"\x94\x00")
+    harness.run_passes()
+    harness.run_passes(ms=age_ms)
+    for _ in range(3):
+        harness.connect_router()
+        harness.run_passes(ms=age_ms)
+    assert harness.clients.counters.counts["clients.made_room"] == 3
+    assert honest.answer(ping)[0] is None
+    ping = honest.ping()
+    harness.run_passes()
+    assert honest.answer(ping)[0] is None
+
+
+def test_connections_in_use_are_kept_while_silent_ones_are_too_young_to_be_evicted(start):
+    harness = start(max_connections=2)
+    honest = harness.connect_router()
+    honest.ping()
+    harness.run_passes()
+    harness.connect_router()
+    harness.run_passes(ms=1)
+    late = harness.connect_router()
+    harness.run_passes(ms=40)
+    assert harness.clients.counters.counts["clients.made_room"] == 0
+    late.ping()
+    for _ in range(4):
+        harness.run_passes(ms=20)
+    assert late.answer(late.number)[0] is None
+    honest.ping()
+    harness.run_passes()
+    assert honest.answer(honest.number)[0] is None
