Launch nothing for a client that has left, however much of it is unread

What it had sent was read piece by piece and handed on to the agent; the end behind it was noticed last. A request that had waited for a core was launched too if its client left in the same pass, and one whose launch was waiting for a link to the agent was sent when the link came back.

Cause: the end of a connection was known only as the read that returns nothing, after all that is unread. `select.poll` can report the end beside unread data; it was not asked for that.

The run dispatcher looks once more before a launch; a request of a client that left is withdrawn, its key is free again and repeats of others are rejected as never run. A launch that no link has taken is withdrawn when its client leaves or takes it back, unless a repeat waits for it. New counter `send withdrawn`. As before, a client that ends its side of the connection gets no more answers.

--- a/birchslip/idempotency/earlier_results.py
+++ b/birchslip/idempotency/earlier_results.py
@@ -41,6 +41,10 @@
     def send_error(self, message_id: int) -> None:
         """Discard a failure."""
 
+    def has_peer_closed(self) -> bool:
+        """Return that no answer can reach the caller."""
+        return True
+
 
 class EarlierResults:
     """Keys of earlier incarnations and answers to their repeats.
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -277,6 +277,10 @@
         self.connection.write(message)
         self.clients.update_idle(self)
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the connection has ended, or its end has arrived, perhaps behind unread data."""
+        return not self.connection.open or self.connection.has_peer_closed()
+
     def send_closing(self, timeout: int = CLOSING_TIMEOUT) -> None:
         """Notify the router that the connection closes; do nothing if it was notified before.
 
@@ -441,7 +445,14 @@
             self.lingering.popitem(last=False)[0].connection.close("evicted to make room")
         client = Client(
             self,
-            Connection(self.scheduler, sock, self.max_unread_bytes, MAX_UNSENT_BYTES, self.pool),
+            Connection(
+                self.scheduler,
+                sock,
+                self.max_unread_bytes,
+                MAX_UNSENT_BYTES,
+                self.pool,
+                reads_after_peer_closed=False,
+            ),
         )
         client.connection.on_malformed = client.on_malformed
         self.active[client] = self.awaiting_first_message[client] = None
--- a/birchslip/net/counters.py
+++ b/birchslip/net/counters.py
@@ -10,7 +10,7 @@
     "clients.silent clients.made_room "
     "take_in.taken take_in.malformed admit.repeats admit.mislabelled "
     "book.honoured book.erred book.shed book.written_off book.gone book.faults "
-    "send.launched send.stopped send.honoured send.erred send.recalled send.moot send.refused "
+    "send.launched send.stopped send.honoured send.erred send.recalled send.moot send.refused send.withdrawn "
     "relay.wanted relay.called relay.skipped relay.honoured relay.erred relay.overdue relay.severed "
     "relay.saturated relay.unreached relay.moot "
     "agent.links agent.lost agent.silent agent.declined agent.asides agent.malformed agent.samples "
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -512,6 +512,7 @@
         """Cancel the call of a request whose caller is gone, and close the request without a response."""
         self.downstream_caller.cancel_call(context)
         self.response_recorder.on_caller_gone(context)
+        self.run_dispatcher.withdraw_unwritten(context)
 
     def on_abandoned(self, context: RequestContext) -> None:
         """Send a response to a request whose connection is about to close."""
--- a/birchslip/net/request_context.py
+++ b/birchslip/net/request_context.py
@@ -38,6 +38,9 @@
     def send_error(self, message_id: int) -> None:
         """Send that a request failed; it may have run."""
 
+    def has_peer_closed(self) -> bool:
+        """Return whether no answer can reach the caller any more."""
+
 
 @dataclass(slots=True)
 class DecodedRequest:
--- a/birchslip/net/servers.py
+++ b/birchslip/net/servers.py
@@ -128,6 +128,17 @@
         order = self.send_order(OrderKind.LAUNCH, context, **{"class": context.class_name}, body=body)
         context.pending_orders = [order]
 
+    def withdraw_launch(self, context: RequestContext) -> bool:
+        """Withdraw the launch of a run if it was never written to a link; return whether it is withdrawn."""
+        orders = context.pending_orders
+        if self.runs.get(context.request_id) is not context or not orders:
+            return False
+        if orders[0].kind is not OrderKind.LAUNCH or orders[0].written_at is not None:
+            return False
+        del self.runs[context.request_id]
+        context.pending_orders = []
+        return True
+
     def stop_run(self, context: RequestContext) -> None:
         """Order the agent to stop the run of a request."""
         # Appended, since the launch may not have reached the agent: both are sent again in that case.
--- a/birchslip/net/stages/run_dispatcher.py
+++ b/birchslip/net/stages/run_dispatcher.py
@@ -65,7 +65,13 @@
         self.result_keeper: ResultKeeper | None = None
 
     def start(self, context: RequestContext) -> None:
-        """Start the run of a request; if its key is claimed by another attempt, share that one's result."""
+        """Start the run of a request, unless its caller is gone.
+
+        If its key is claimed by another attempt, it shares that one's result.
+        """
+        if context.channel.has_peer_closed():
+            self.withdraw(context, was_claimed=False)
+            return
         if context.idempotency_key and not self.idempotency_table.claim(context):
             self.counters.count("send.unclaimed")
             self.log.fault("duplicate_run_prevented", id=context.request_id)
@@ -86,18 +92,43 @@
     def on_start_recorded(self, context: RequestContext, is_recorded: bool) -> None:
         """Launch a run whose start was recorded.
 
-        If the start could not be recorded, or the request was answered in the meantime, it never runs.
+        If the start could not be recorded, or the request was answered or its caller left in the meantime, it
+        never runs.
         """
-        if is_recorded and not context.is_answered:
+        if is_recorded and not context.is_answered and not context.channel.has_peer_closed():
             self.launch(context)
             return
         if is_recorded and self.result_keeper is not None:
             self.result_keeper.record_never_ran(context)
-        # Its repeats never ran either: all of them are rejected, so they may be retried.
-        for waiter in (context, *self.idempotency_table.release(context, was_claimed=True)):
+        self.withdraw(context, was_claimed=True)
+
+    def withdraw(self, context: RequestContext, was_claimed: bool) -> None:
+        """End a request that admission control has started and that was not launched.
+
+        Its repeats never ran either: all of them are rejected, so they may be retried.
+
+        Args:
+            context: The request.
+            was_claimed: Whether it had claimed its key.
+        """
+        self.counters.count("send.withdrawn")
+        if context.channel.has_peer_closed():
+            self.response_recorder.on_caller_gone(context)
+        for waiter in (context, *self.idempotency_table.release(context, was_claimed)):
             self.response_recorder.send_rejection(waiter)
             self.admission_stage.add_event(waiter, RunEnded(Outcome.SUPERSEDED, frees_key=True))
 
+    def withdraw_unwritten(self, context: RequestContext) -> None:
+        """Withdraw the launch of a request whose caller is gone, if the agent can't have received it.
+
+        The run goes on if repeats of the request wait for it.
+        """
+        if context.entry is not None and context.entry.waiters:
+            return
+        if context.is_launched and self.agent.withdraw_launch(context):
+            self.counters.count("send.withdrawn")
+            self.end_refused_run(context)
+
     def stop(self, context: RequestContext) -> None:
         """Stop the run of a request, if it runs."""
         if self.agent.runs.get(context.request_id) is context:
@@ -112,6 +143,10 @@
     def on_launch_refused(self, context: RequestContext) -> None:
         """End a run that the agent refused to launch: it never ran, so its key is free again."""
         self.counters.count("send.refused")
+        self.end_refused_run(context)
+
+    def end_refused_run(self, context: RequestContext) -> None:
+        """End a run that was ordered and certainly never began; its key is free again."""
         self.response_recorder.release_key(context, was_claimed=True)
         self.on_run_ended(context, Outcome.SUPERSEDED, b"", 0, frees_key=True)
 
--- a/tests/socket_harness.py
+++ b/tests/socket_harness.py
@@ -96,7 +96,7 @@
     def record_order(self, kind, context, **parts):
         """Record an order in place of sending it."""
         self.orders.append({"op": kind.value, "id": context.request_id} | parts)
-        return PendingOrder(kind, b"")
+        return PendingOrder(kind, b"", written_at=self.time)
 
     def run_passes(self, count=4, ms=0):
         """Advance the time by `ms`, wait until data sent by routers has arrived, then run `count` passes.
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -1,7 +1,11 @@
 """Clients that cost more than they may, on real connections, pass by pass."""
 
+import socket
+
 import pytest
 
+from birchslip.admission.types import Outcome
+from birchslip.net.agent_orders import PendingOrder
 from birchslip.net.clients import (
     MAX_ACCEPTED_PER_TURN,
     MAX_CALLERS_PER_CONNECTION,
@@ -13,7 +17,7 @@
 from birchslip.net.connection import MAX_TURN_PAUSE, TURN_PAUSE_FACTOR
 from birchslip.net.messagepack import pack
 
-from .socket_harness import ProgramHarness
+from .socket_harness import ProgramHarness, wait_until_delivered
 
 KEY = "1" * 32
 
@@ -187,3 +191,91 @@
     honest.ping()
     harness.run_passes()
     assert honest.answer(honest.number)[0] is None
+
+
+# ---- clients that leave ------------------------------------------------------------------------------------
+
+
+def leave(router):
+    """Close a client's connection without letting the program notice it yet."""
+    router.connection.shutdown(socket.SHUT_WR)
+    wait_until_delivered(router.connection)
+    router.connection.close()
+
+
+# Guards against requests that are sent on to the agent although their client has closed its connection.
+@pytest.mark.parametrize("request_count", [1, MAX_OPEN_REQUESTS])
+@pytest.mark.parametrize("key", [{}, {"opkey": KEY}], ids=["lookup", "order"])
+def test_nothing_is_launched_for_a_client_that_left_with_requests_unread(start, request_count, key):
+    harness = start()
+    router = harness.connect_router()
+    harness.run_passes()
+    for _ in range(request_count):
+        router.call("order" if key else "lookup", b"1" * 1500, **key)
+    leave(router)
+    harness.run_passes(ms=30).run_passes(ms=30)
+    assert not harness.launched_runs()
+    assert not harness.clients.active
+
+
+def test_nothing_more_is_launched_once_a_client_with_a_backlog_left(start):
+    harness = start()
+    router = harness.connect_router()
+    harness.run_passes()
+    for _ in range(MAX_TURN_MESSAGES + 8):
+        router.call("lookup", b"1")
+    harness.run_passes(count=1)
+    launched = harness.launched_runs()
+    leave(router)
+    harness.run_passes(ms=30).run_passes(ms=30)
+    for run_id in launched:
+        harness.end_run(run_id, Outcome.SERVED)
+    harness.run_passes()
+    assert harness.launched_runs() == launched
+    assert harness.program.counters.counts["take_in.taken"] == MAX_TURN_MESSAGES
+
+
+def occupy_cores(harness):
+    """Have a router's runs occupy all cores; return their ids."""
+    router = harness.connect_router()
+    for _ in range(harness.program.config.settings.cores):
+        router.call("lookup", b"hold")
+    harness.run_passes()
+    return harness.launched_runs()
+
+
+@pytest.mark.parametrize("key", [{}, {"opkey": KEY}], ids=["lookup", "order"])
+def test_queued_request_is_not_launched_if_its_client_left_in_the_same_pass(start, key):
+    harness = start()
+    running = occupy_cores(harness)
+    router = harness.connect_router()
+    router.call("order" if key else "lookup", b"1", **key)
+    harness.run_passes()
+    leave(router)
+    for run_id in running:
+        harness.end_run(run_id, Outcome.SERVED)
+    harness.program.finish_pass()  # the end of a pass whose poll came before the client left
+    harness.program.finish_pass()
+    assert harness.launched_runs() == running
+    assert harness.program.counters.counts["send.withdrawn"] == 1
+    harness.run_passes()
+    assert not harness.program.admission_stage.driver.controller.limit.running
+    if key:  # it has never run, so it may run for another client
+        harness.connect_router().call("order", b"1", **key)
+        harness.run_passes()
+        assert len(harness.launched_runs()) == len(running) + 1
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_launch_that_no_link_has_taken_is_withdrawn_when_its_client_leaves(start, is_repeated):
+    harness = start()
+    harness.program.agent.send_order = lambda kind, context, **parts: PendingOrder(kind, b"")
+    router, other = harness.connect_router(), harness.connect_router()
+    router.call("order", b"1", opkey=KEY)
+    harness.run_passes()
+    if is_repeated:
+        other.call("order", b"1", opkey=KEY, resent="1")
+        harness.run_passes()
+    harness.disconnect(router)
+    assert len(harness.program.agent.runs) == is_repeated
+    assert (KEY in harness.program.idempotency_table.entries) == is_repeated
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -57,6 +57,9 @@
             (name, *(p for p in parts if not isinstance(p, RequestContext)))
         )
 
+    def has_peer_closed(self):
+        return False
+
     def launch(self, context):
         self.runs[context.request_id] = context
         self.calls.append(("launch", context.request_id))
