Remember the ids of launched runs while a copy of their request may come

Cause: an id counted as in use while its request was open or its run went on, and no longer.

The bound is a sixteenth of the available memory, at least 4,096 ids. A launch that the agent refused, or that was withdrawn, is forgotten. A request with a launched id gets an error that says so.

--- a/birchslip/net/bounds.py
+++ b/birchslip/net/bounds.py
@@ -16,6 +16,8 @@
 CONNECTION_BYTES = 12_288  # memory of a connection and its task, without unread data
 MIN_UNREAD_BYTES, MAX_UNREAD_BYTES = 8_192, 32_768  # the minimum holds two of a router's largest messages
 CALL_BYTES = 81_920  # memory of a downstream call: its largest reply, unread, and its task
+LAUNCHED_ID_BYTES = 128  # memory of the id of a run, in a set that is rarely full
+MIN_LAUNCHED_IDS = 4_096
 MIN_AVAILABLE_BYTES = 4 << 20  # assumed at least; with less it cannot serve, which shows in rejections
 
 
@@ -29,6 +31,7 @@
         unread: Bytes read and not yet consumed, on each connection.
         unsent: Bytes not yet sent to routers, on all connections together.
         orders: Bytes not yet sent to the agent.
+        launched_ids: Ids of runs that are remembered after their launch.
     """
 
     connections: int
@@ -36,14 +39,15 @@
     unread: int
     unsent: int
     orders: int
+    launched_ids: int
 
 
 def compute_bounds(memory_limit: int, own_memory: int, descriptors: int) -> Bounds:
     """Divide the limits of memory and descriptors among connections, calls and unsent bytes.
 
     Of the available memory, three eighths are for connections with their unread bytes, at most a quarter is
-    for calls, and an eighth each is for unsent bytes to routers and to the agent. Each bound has a minimum,
-    which applies even if the limits leave less.
+    for calls, an eighth each is for unsent bytes to routers and to the agent, and a sixteenth is for the ids
+    of launched runs. Each bound has a minimum, which applies even if the limits leave less.
 
     Args:
         memory_limit: Limit of the process's memory, in bytes.
@@ -57,4 +61,11 @@
         1, min(descriptors - calls - RESERVED_DESCRIPTORS, share // (CONNECTION_BYTES + MIN_UNREAD_BYTES))
     )
     unread = max(MIN_UNREAD_BYTES, min(MAX_UNREAD_BYTES, share // connections - CONNECTION_BYTES))
-    return Bounds(connections, calls, unread, unsent=available // 8, orders=available // 8)
+    return Bounds(
+        connections,
+        calls,
+        unread,
+        unsent=available // 8,
+        orders=available // 8,
+        launched_ids=max(MIN_LAUNCHED_IDS, available // 16 // LAUNCHED_ID_BYTES),
+    )
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -31,6 +31,7 @@
 from .clients import Clients
 from .counters import Counters
 from .idempotency_table import IdempotencyTable
+from .launched_ids import LaunchedIds
 from .log import Log
 from .request_context import IdempotencyEntry, RequestContext, RunResult
 from .scheduler import READ, Scheduler
@@ -180,9 +181,9 @@
         self.vault = Vault(scheduler, counters, log, config.vault, self.bounds.calls)
         self.catalog = Catalog(scheduler, counters, log, config.catalog, config.name, self.is_passing)
         # stages
-        self.idempotency_table = IdempotencyTable(
-            max(request_class.deadline for request_class in config.settings.request_classes)
-        )
+        max_deadline = max(request_class.deadline for request_class in config.settings.request_classes)
+        self.idempotency_table = IdempotencyTable(max_deadline)
+        self.launched_ids = LaunchedIds(max_deadline, self.bounds.launched_ids)
         self.request_decoder = RequestDecoder(
             scheduler, counters, log, config.settings, config.class_names, config.tenant_names
         )
@@ -199,6 +200,7 @@
             self.admission_stage,
             self.downstream_caller,
             self.response_recorder,
+            self.launched_ids,
         )
         self.action_dispatcher = ActionDispatcher(
             scheduler,
@@ -505,8 +507,12 @@
         return self.clients.healthy and self.phase in (Phase.STARTING, Phase.SERVING)
 
     def is_id_in_use(self, request_id: str) -> bool:
-        """Return whether a request with this id is open or still runs."""
-        return request_id in self.response_recorder.open_request_ids or request_id in self.agent.runs
+        """Return whether a request with this id is open, still runs or was launched before."""
+        return (
+            request_id in self.response_recorder.open_request_ids
+            or request_id in self.agent.runs
+            or request_id in self.launched_ids
+        )
 
     def on_disconnected(self, context: RequestContext) -> None:
         """Cancel the call of a request whose caller is gone, and close the request without a response."""
--- a/birchslip/net/request_context.py
+++ b/birchslip/net/request_context.py
@@ -9,10 +9,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..admission.types import Outcome, Request
+from ..admission.types import SECOND, Outcome, Request
 from .agent_orders import PendingOrder
 from .scheduler import Timer
 
+# The router runs on the same machine, so on the same clock: a larger difference is an invalid timestamp.
+MAX_CLOCK_SKEW = 60 * SECOND
+
 
 class ResponseChannel(Protocol):
     """The connection that a request arrived on and is answered on.
--- a/birchslip/net/stages/request_decoder.py
+++ b/birchslip/net/stages/request_decoder.py
@@ -7,17 +7,14 @@
 
 from collections.abc import Callable
 
-from ...admission.types import SECOND, AdmissionSettings, Idempotency, Request, Tenant
+from ...admission.types import AdmissionSettings, Idempotency, Request, Tenant
 from ...errors import InvalidInputError
 from ..clients import Client
 from ..counters import Counters
 from ..log import Log
-from ..request_context import DecodedRequest, RequestContext
+from ..request_context import MAX_CLOCK_SKEW, DecodedRequest, RequestContext
 from ..scheduler import Scheduler
 
-# The router runs on the same machine, so on the same clock: a larger difference is an invalid timestamp.
-MAX_CLOCK_SKEW = 60 * SECOND
-
 
 class RequestDecoder:
     """Builds the context of each request and submits it for admission.
@@ -26,7 +23,7 @@
         request_classes: The request classes by name.
         tenants: The tenants by name; empty if tenants are not configured.
         submit: Passes a request to the admission stage.
-        is_id_in_use: Whether a request or run with this id is open.
+        is_id_in_use: Whether a request with this id is open, or was launched before.
         register: Records that a request is open.
     """
 
@@ -99,7 +96,7 @@
         if is_keyed and decoded.has_subject:
             raise InvalidInputError("a labelled transaction that names what it reads")
         if self.is_id_in_use(decoded.request_id):
-            raise InvalidInputError("the id of one that is open")
+            raise InvalidInputError("the id of one that is open or was launched before")
         # The time of receipt is never in the future. For the decisions it is also never longer ago than the
         # deadline of the class, or a single wrong timestamp would look like a backlog. Repeats of a key are
         # found by `received_at`, which has no such lower bound, however late they are processed.
--- a/birchslip/net/stages/run_dispatcher.py
+++ b/birchslip/net/stages/run_dispatcher.py
@@ -12,8 +12,9 @@
 from ...admission.types import Outcome, RunEnded
 from ..counters import Counters
 from ..idempotency_table import IdempotencyTable
+from ..launched_ids import LaunchedIds
 from ..log import Log
-from ..request_context import RequestContext, RunResult
+from ..request_context import MAX_CLOCK_SKEW, RequestContext, RunResult
 from ..servers import Agent
 from .admission_stage import AdmissionStage
 from .downstream_caller import DownstreamCaller
@@ -54,22 +55,25 @@
         admission_stage: AdmissionStage,
         downstream_caller: DownstreamCaller,
         response_recorder: ResponseRecorder,
+        launched_ids: LaunchedIds,
     ) -> None:
         """Begin without runs and without a result keeper."""
+        self.launched_ids = launched_ids
         self.counters, self.log, self.agent, self.idempotency_table = counters, log, agent, idempotency_table
         self.admission_stage, self.downstream_caller, self.response_recorder = (
             admission_stage,
             downstream_caller,
             response_recorder,
         )
+        self.scheduler = admission_stage.scheduler
         self.result_keeper: ResultKeeper | None = None
 
     def start(self, context: RequestContext) -> None:
-        """Start the run of a request, unless its caller is gone.
+        """Start the run of a request, unless its caller is gone or its id could not be remembered.
 
         If its key is claimed by another attempt, it shares that one's result.
         """
-        if context.channel.has_peer_closed():
+        if context.channel.has_peer_closed() or not self.launched_ids.has_room(self.scheduler.now):
             self.withdraw(context, was_claimed=False)
             return
         if context.idempotency_key and not self.idempotency_table.claim(context):
@@ -84,7 +88,9 @@
 
     def launch(self, context: RequestContext) -> None:
         """Order the run at the agent."""
-        context.is_launched, context.launched_at = True, self.admission_stage.scheduler.now
+        now = self.scheduler.now
+        context.is_launched, context.launched_at = True, now
+        self.launched_ids.add(context.request_id, context.retention_start + MAX_CLOCK_SKEW, now)
         self.counters.count("send.launched")
         self.counters.peak("send.running", len(self.agent.runs) + 1)
         self.agent.launch(context)
@@ -146,7 +152,8 @@
         self.end_refused_run(context)
 
     def end_refused_run(self, context: RequestContext) -> None:
-        """End a run that was ordered and certainly never began; its key is free again."""
+        """End a run that was ordered and certainly never began; its id and its key are free again."""
+        self.launched_ids.remove(context.request_id)
         self.response_recorder.release_key(context, was_claimed=True)
         self.on_run_ended(context, Outcome.SUPERSEDED, b"", 0, frees_key=True)
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -19,7 +19,7 @@
 
 from .socket_harness import ProgramHarness, wait_until_delivered
 
-KEY = "1" * 32
+KEY, RUN_ID = "1" * 32, "2" * 16
 
 
 @pytest.fixture
@@ -279,3 +279,51 @@
     harness.disconnect(router)
     assert len(harness.program.agent.runs) == is_repeated
     assert (KEY in harness.program.idempotency_table.entries) == is_repeated
+
+
+# Guards against an id that runs twice as its client comes again after it has left.
+@pytest.mark.parametrize("ending", ["abort", "close", "served"])
+@pytest.mark.parametrize("later_ms", [0, 3_000, 50_000])
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_launched_id_is_not_launched_again_when_it_comes_again(start, ending, later_ms, is_stopped):
+    harness = start()
+    router = harness.connect_router()
+    number = router.call("lookup", b"1", req=RUN_ID)
+    harness.run_passes()
+    if ending == "abort":
+        router.abort(number)
+        harness.run_passes()
+    elif ending == "close":
+        harness.disconnect(router)
+    harness.end_run(RUN_ID, Outcome.CANCELLED if is_stopped else Outcome.SERVED)
+    harness.run_passes(ms=later_ms)
+    other = harness.connect_router()
+    again = other.call("lookup", b"1", req=RUN_ID)
+    harness.run_passes()
+    assert harness.launched_runs() == [RUN_ID]
+    assert other.answer(again)[0][0] == "the id of one that is open or was launched before"
+
+
+def test_id_that_was_never_launched_may_come_again(start):
+    harness = start()
+    running = occupy_cores(harness)
+    router = harness.connect_router()
+    number = router.call("lookup", b"1", req=RUN_ID)
+    harness.run_passes()
+    router.abort(number)
+    harness.run_passes()
+    router.call("lookup", b"1", req=RUN_ID)
+    harness.end_run(running[0], Outcome.SERVED)
+    harness.run_passes()
+    assert harness.launched_runs() == [*running, RUN_ID]
+
+
+def test_id_of_a_refused_launch_may_come_again(start):
+    harness = start()
+    router = harness.connect_router()
+    for launches in (1, 2):
+        router.call("lookup", b"1", req=RUN_ID)
+        harness.run_passes()
+        assert harness.launched_runs() == [RUN_ID] * launches
+        harness.program.agent.on_launch_refused(harness.program.agent.runs.pop(RUN_ID))
+        harness.run_passes()
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -29,6 +29,7 @@
 from birchslip.net.agent_messages import RUN_OUTCOMES
 from birchslip.net.counters import Counters
 from birchslip.net.idempotency_table import RETENTION_SLACK, IdempotencyTable
+from birchslip.net.launched_ids import LaunchedIds
 from birchslip.net.program import PHASE_TRANSITIONS, Phase, Program
 from birchslip.net.request_context import DecodedRequest, RequestContext, RunResult
 from birchslip.net.site import ServerConfig
@@ -104,6 +105,7 @@
             self.admission_stage,
             self.downstream_caller,
             self.response_recorder,
+            LaunchedIds(4 * SECOND, 4096),
         )
         self.action_dispatcher = ActionDispatcher(
             self.clock,
