Bound the process's own memory for idempotency keys, and remove expired ones at each tick

Seen by reading, when the bound of what is remembered was looked for: the decisions book `key_kb` for a key, 1 KB in the examples, out of the memory of the settings. In the process a key takes some 3 KB, up to 6 KB more if its connection has ended, a body of up to 2 KB and a result of up to 4 KB, under a limit of its own that the decisions do not know. Keys that had expired stayed until the next one came.

Change: the idempotency table counts what its entries take. A sixteenth of the available memory, at least 2 MB, is for them (`bounds keys`); new keyed requests are rejected with a Retry-After while it is full, through the way that the result store uses. Each tick removes expired entries.

Measured: tests/test_bad_clients.py, four keys with their results fill the room of eight without, the next are rejected, and after the retention one is served again.

--- a/birchslip/admission/driver.py
+++ b/birchslip/admission/driver.py
@@ -96,11 +96,11 @@
         """Apply a plan; returns False for a plan of an older term or number, which is ignored."""
         return self.controller.apply_plan(plan)
 
-    def limit_new_keys(self, remaining: int, scarce_below: int, retry_delay: int) -> None:
-        """Limit the keyed requests that may still start to the room in the result store.
+    def limit_new_keys(self, remaining: float, scarce_below: int, retry_delay: int) -> None:
+        """Limit the keyed requests that may still start to the room for keys, in memory and in the store.
 
         Args:
-            remaining: How many keyed requests the store still takes.
+            remaining: How many keyed requests there is room for.
             scarce_below: From this number down, the room is reserved for callers within their quota.
             retry_delay: Time until there is room again.
         """
--- a/birchslip/net/bounds.py
+++ b/birchslip/net/bounds.py
@@ -18,6 +18,8 @@
 CALL_BYTES = 81_920  # memory of a downstream call: its largest reply, unread, and its task
 LAUNCHED_ID_BYTES = 128  # memory of the id of a run, in a set that is rarely full
 MIN_LAUNCHED_IDS = 4_096
+KEY_BYTES = 3_072  # memory of an idempotency key, without the body and the result
+MIN_KEY_BYTES = 2 << 20  # of all keys
 MIN_AVAILABLE_BYTES = 4 << 20  # assumed at least; with less it cannot serve, which shows in rejections
 
 
@@ -32,6 +34,7 @@
         unsent: Bytes not yet sent to routers, on all connections together.
         orders: Bytes not yet sent to the agent.
         launched_ids: Ids of runs that are remembered after their launch.
+        keys: Bytes of idempotency keys with the bodies and results of their requests.
     """
 
     connections: int
@@ -40,14 +43,16 @@
     unsent: int
     orders: int
     launched_ids: int
+    keys: int
 
 
 def compute_bounds(memory_limit: int, own_memory: int, descriptors: int) -> Bounds:
     """Divide the limits of memory and descriptors among connections, calls and unsent bytes.
 
     Of the available memory, three eighths are for connections with their unread bytes, at most a quarter is
-    for calls, an eighth each is for unsent bytes to routers and to the agent, and a sixteenth is for the ids
-    of launched runs. Each bound has a minimum, which applies even if the limits leave less.
+    for calls, an eighth each is for unsent bytes to routers and to the agent, and a sixteenth each is for
+    the ids of launched runs and for idempotency keys. Each bound has a minimum, which applies even if the
+    limits leave less.
 
     Args:
         memory_limit: Limit of the process's memory, in bytes.
@@ -68,4 +73,5 @@
         unsent=available // 8,
         orders=available // 8,
         launched_ids=max(MIN_LAUNCHED_IDS, available // 16 // LAUNCHED_ID_BYTES),
+        keys=max(MIN_KEY_BYTES, available // 16),
     )
--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -33,7 +33,7 @@
 from .message_reader import MessageReader
 from .message_reader import read_messages as read_messages  # users of this package find it here
 from .messagepack import IncompleteMessageError, pack
-from .request_context import DecodedRequest, RequestContext
+from .request_context import MAX_BODY_BYTES, DecodedRequest, RequestContext
 from .scheduler import READ, Scheduler
 
 OVERLOADED, FAILED = "Overloaded", "Failed"  # error texts of a rejection and of a failed request
@@ -43,7 +43,6 @@
     re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?"),
     re.compile("1"),
 )
-MAX_BODY_BYTES = 2048
 MAX_FIELD_CHARS = 256  # tenant names may be long
 MAX_NEED_KB = 2000  # memory that a request reserves; exclusive
 MAX_TIMEOUT_MS = 3_600_000  # no caller waits for an hour; also used where a request names no timeout
--- a/birchslip/net/idempotency_table.py
+++ b/birchslip/net/idempotency_table.py
@@ -10,10 +10,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 from ..admission.expiry_queue import ExpiryQueue
 from ..admission.types import MS, Outcome
-from .request_context import IdempotencyEntry, RequestContext, RunResult
+from .bounds import KEY_BYTES
+from .request_context import MAX_BODY_BYTES, IdempotencyEntry, RequestContext, RunResult
 
 # Added to each retention: on sockets, the protocol's time limits are this much longer.
 RETENTION_SLACK = 50 * MS
@@ -25,23 +27,32 @@
     Attributes:
         max_deadline: The longest deadline of all request classes.
         entries: The entries by key.
+        max_bytes: The memory that the entries may take; one that has run may exceed it by its result.
+        retained_bytes: The memory that they take, with the bodies and the results of their requests.
         expiry_queue: The entries by the time from which each may be removed.
         find_earlier: Finds the entry of a key whose run was started by an earlier incarnation; finds nothing
             without a result store.
     """
 
-    def __init__(self, max_deadline: int) -> None:
+    def __init__(self, max_deadline: int, max_bytes: float = inf) -> None:
         """Begin without entries.
 
         Args:
             max_deadline: The longest deadline of all request classes. Repeats are matched by their time of
                 receipt, however late they are processed, so entries are kept for this much longer.
+            max_bytes: The memory that the entries may take.
         """
         self.max_deadline = max_deadline
+        self.max_bytes, self.retained_bytes = max_bytes, 0
         self.entries: dict[str, IdempotencyEntry] = {}
         self.expiry_queue: ExpiryQueue[IdempotencyEntry] = ExpiryQueue()
         self.find_earlier: Callable[[RequestContext], IdempotencyEntry | None] = lambda context: None
 
+    def remaining_keys(self, now: int) -> float:
+        """Return how many more keys may be stored if each has the largest body; first remove expired ones."""
+        self.remove_expired(now)
+        return max(0, (self.max_bytes - self.retained_bytes) // (KEY_BYTES + MAX_BODY_BYTES))
+
     def find(self, key: str, received_at: int) -> IdempotencyEntry | None:
         """Return the entry that a request received at this time repeats, if any."""
         entry = self.entries.get(key)
@@ -55,6 +66,7 @@
             entry = self.entries[context.idempotency_key] = IdempotencyEntry(
                 context.idempotency_key, context, retained_until + RETENTION_SLACK
             )
+            self.count_bytes(entry, KEY_BYTES + len(context.body))
         entry.stored_by, entry.valid_until = context, max(retained_until + RETENTION_SLACK, entry.valid_until)
         context.entry = entry
         self.schedule_expiry(entry)
@@ -138,6 +150,7 @@
         if entry is None or entry.claimed_by is not context:
             return []
         entry.result = run_result
+        self.count_bytes(entry, len(run_result.body))
         waiters = entry.take_waiters()
         entry.detach(context, *waiters)
         return waiters
@@ -147,7 +160,13 @@
         for entry in self.expiry_queue.take_expired(now - 1):
             self.remove_entry(entry)
 
+    def count_bytes(self, entry: IdempotencyEntry, change: int) -> None:
+        """Add to the memory that an entry takes."""
+        entry.retained_bytes += change
+        self.retained_bytes += change
+
     def remove_entry(self, entry: IdempotencyEntry) -> None:
-        """Remove an entry, unless its key has a later one by now."""
+        """Remove an entry; its key may have a later one by now, which stays."""
+        self.count_bytes(entry, -entry.retained_bytes)
         if self.entries.get(entry.key) is entry:
             del self.entries[entry.key]
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -50,6 +50,7 @@
 EXIT_LEAD = 250  # connections are closed 25 ms before the kill, even if a router has not read everything
 MAX_CLOSING_TIME = 10_000  # 1 s for routers to close their side, if the deadline allows
 SHUT_LEAD = 3_000  # routers are notified at least 300 ms before the deadline, even within the drain grace
+KEY_RETRY_DELAY = 10_000  # 1 s, advised while memory has no room for a new idempotency key
 TASK_RESTART_DELAY = 1_000  # 100 ms between a task's exception and its restart
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
@@ -182,7 +183,7 @@
         self.catalog = Catalog(scheduler, counters, log, config.catalog, config.name, self.is_passing)
         # stages
         max_deadline = max(request_class.deadline for request_class in config.settings.request_classes)
-        self.idempotency_table = IdempotencyTable(max_deadline)
+        self.idempotency_table = IdempotencyTable(max_deadline, self.bounds.keys)
         self.launched_ids = LaunchedIds(max_deadline, self.bounds.launched_ids)
         self.request_decoder = RequestDecoder(
             scheduler, counters, log, config.settings, config.class_names, config.tenant_names
@@ -495,11 +496,21 @@
                 self.log.info(server_action.name, **asdict(server_action))
 
     def tick(self) -> None:
-        """Pass gauges and the store's capacity to admission control, at the time set by its `SetTimer`."""
-        if self.result_store is not None and self.admission_stage.driver is not None:
-            self.admission_stage.driver.limit_new_keys(*self.result_store.capacity())
+        """Pass gauges and the room for keys to admission control, at the time set by its `SetTimer`."""
+        if self.admission_stage.driver is not None:
+            self.admission_stage.driver.limit_new_keys(*self.key_capacity())
         self.admission_stage.tick(Gauges(self.agent.core_utilization()))
 
+    def key_capacity(self) -> tuple[float, int, int]:
+        """Return how many new keys memory and the store take, and the rest as in `limit_new_keys`."""
+        in_memory = self.idempotency_table.remaining_keys(self.scheduler.now)
+        if self.result_store is None:
+            return in_memory, 0, KEY_RETRY_DELAY
+        stored, scarce_below, time_until_room = self.result_store.capacity()
+        if in_memory < stored:
+            return in_memory, 0, KEY_RETRY_DELAY
+        return stored, scarce_below, time_until_room
+
     def is_passing(self) -> bool:
         """Return whether the catalog is to list this app server as available to routers."""
         if self.fleet_member is not None and not self.fleet_member.update_listing():
--- a/birchslip/net/request_context.py
+++ b/birchslip/net/request_context.py
@@ -15,6 +15,7 @@
 
 # The router runs on the same machine, so on the same clock: a larger difference is an invalid timestamp.
 MAX_CLOCK_SKEW = 60 * SECOND
+MAX_BODY_BYTES = 2_048  # of a request
 
 
 class ResponseChannel(Protocol):
@@ -149,6 +150,7 @@
         valid_until: The last time of receipt at which a request with this key is a repeat.
         claimed_by: The only attempt that may run, once there is one.
         result: The result of the run, once it is over.
+        retained_bytes: What the entry counts for in the memory of the table.
         waiters: Repeats that are answered when the run is over, in the order of their arrival.
         matches_earlier_run: Set if the run was started by an earlier incarnation: whether an attempt has the
             same content as the request that ran.
@@ -159,6 +161,7 @@
     valid_until: int
     claimed_by: RequestContext | None = None
     result: RunResult | None = None
+    retained_bytes: int = 0
     waiters: dict[RequestContext, None] = field(default_factory=dict)
     matches_earlier_run: Callable[[RequestContext], bool] | None = None
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -1,11 +1,13 @@
 """Clients that cost more than they may, on real connections, pass by pass."""
 
+import os
 import socket
 
 import pytest
 
 from birchslip.admission.types import Outcome
 from birchslip.net.agent_orders import PendingOrder
+from birchslip.net.bounds import KEY_BYTES
 from birchslip.net.clients import (
     MAX_ACCEPTED_PER_TURN,
     MAX_CALLERS_PER_CONNECTION,
@@ -16,6 +18,7 @@
 )
 from birchslip.net.connection import MAX_TURN_PAUSE, TURN_PAUSE_FACTOR
 from birchslip.net.messagepack import pack
+from birchslip.net.request_context import MAX_BODY_BYTES
 
 from .socket_harness import ProgramHarness, wait_until_delivered
 
@@ -56,6 +59,32 @@
     assert not channel.connection.buffer.data
 
 
+# Guards against keys that run with large bodies and results and together take more than the memory limit.
+def test_new_keys_are_rejected_while_the_kept_ones_fill_their_memory(start):
+    harness = start()
+    table = harness.program.idempotency_table
+    table.max_bytes = 8 * (KEY_BYTES + MAX_BODY_BYTES)
+    router = harness.connect_router()
+
+    def order():
+        number = router.call("order", b"x" * MAX_BODY_BYTES, opkey=os.urandom(16).hex())
+        harness.run_passes(ms=60)
+        for run_id in list(harness.program.agent.runs):
+            harness.end_run(run_id, Outcome.SERVED, b"y" * 4096)
+        harness.run_passes(ms=60)
+        error, _ = router.answer(number)
+        return error
+
+    errors = [order() for _ in range(10)]
+    served = errors.count(None)
+    assert served == 4  # with its result, each takes the room of nearly two
+    assert all(error[0] == "Overloaded" and int(error[1]["holdoff"]) for error in errors[served:])
+    assert table.retained_bytes == served * (KEY_BYTES + MAX_BODY_BYTES + 4096)
+    harness.run_passes(ms=12_000).run_passes(ms=60)
+    assert order() is None
+    assert len(table.entries) == 1
+
+
 # ---- turns of connections ----------------------------------------------------------------------------------
 
 
