--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -34,7 +34,7 @@
 from .message_reader import read_messages as read_messages  # users of this package find it here
 from .messagepack import IncompleteMessageError, pack
 from .request_context import MAX_BODY_BYTES, DecodedRequest, RequestContext
-from .scheduler import READ, Scheduler
+from .scheduler import READ, Scheduler, Timer
 
 OVERLOADED, FAILED = "Overloaded", "Failed"  # error texts of a rejection and of a failed request
 ID_PATTERN, KEY_PATTERN = re.compile("[0-9a-f]{16}"), re.compile("[0-9a-f]{32}")
@@ -159,6 +159,7 @@
         callers: The numbers of callers that requests named, up to `MAX_CALLERS_PER_CONNECTION`.
         highest_message_id: The highest id received; ids of requests must increase on a connection.
         closing_sent: Whether the router was notified that this connection closes.
+        closing_timer: Closes the connection after that, if the router does not.
     """
 
     def __init__(self, clients: Clients, connection: Connection) -> None:
@@ -169,6 +170,7 @@
         self.callers: dict[int, None] = {}
         self.highest_message_id = 0
         self.closing_sent = False
+        self.closing_timer: Timer | None = None
 
     def on_data(self, buffer: Buffer) -> None:
         """Handle the complete messages in the buffer, as far as one turn goes.
@@ -302,7 +304,9 @@
             if self in self.clients.active and not self.clients.close_if_idle(self, "closing"):
                 self.schedule_close(timeout)
 
-        self.clients.scheduler.at(self.clients.scheduler.now + timeout, close_or_reschedule)
+        self.closing_timer = self.clients.scheduler.at(
+            self.clients.scheduler.now + timeout, close_or_reschedule
+        )
 
     def on_malformed(self, reason: str) -> None:
         """Close the connection gracefully; requests read before the malformed data get their responses."""
@@ -480,6 +484,8 @@
     def remove(self, client: Client) -> None:
         """Remove a connection from all groups but `lingering`."""
         self.active.pop(client, None)
+        if client.closing_timer is not None:
+            client.closing_timer.cancel()
         for group in (self.idle, self.awaiting_message, self.awaiting_first_message):
             group.pop(client, None)
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -1,7 +1,9 @@
 """Clients that cost more than they may, on real connections, pass by pass."""
 
+import gc
 import os
 import socket
+import weakref
 
 import pytest
 
@@ -59,6 +61,24 @@
     assert not channel.connection.buffer.data
 
 
+# Guards against closed connections that stay in memory until the time by which they were to be closed.
+def test_connection_that_was_notified_of_its_close_is_freed_when_its_peer_closes_it(start):
+    harness = start()
+    gc.disable()
+    try:
+        routers = [harness.connect_router() for _ in range(8)]
+        harness.run_passes()
+        references = [weakref.ref(client) for client in harness.clients.active]
+        for client in harness.clients.active:
+            client.send_closing()
+        del client
+        for router in routers:
+            harness.disconnect(router)
+        assert [reference() for reference in references] == [None] * 8
+    finally:
+        gc.enable()
+
+
 # Guards against keys that run with large bodies and results and together take more than the memory limit.
 def test_new_keys_are_rejected_while_the_kept_ones_fill_their_memory(start):
     harness = start()
