Split the module of router connections by job

clients.py had 727 lines: decoding of requests (request_decoding.py), one router's connection (client.py), the socket filter that blocks handshakes (handshake_filter.py), and what stays, the listener with the timeouts and evictions of all connections (442 lines).

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -1,8 +1,7 @@
-"""Router connections: MessagePack-RPC on the listening address.
+"""The listening socket and the connections of all routers: who is accepted, timed out, evicted and closed.
 
-A request is `[0, id, class, [fields, body]]`, its response `[1, id, error, result]`, a notification
-`[2, name, params]`. Each connection has one greenlet; the number of connections, open requests and unread and
-unsent bytes is bounded.
+Each connection has one greenlet; the number of connections, open requests and unread and unsent bytes is
+bounded.
 
 All times are in tenths of a millisecond unless a name says otherwise.
 """
@@ -10,46 +9,21 @@
 from __future__ import annotations
 
 import errno
-import re
 import socket
-import struct
-from array import array
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
-from contextlib import suppress
-from functools import partial
 from itertools import count, islice, takewhile
-from math import ceil
-from re import Pattern
-from typing import Any
 
-from ..admission.types import MS
-from ..errors import InvalidInputError
 from .bounds import Bounds
-from .buffer import Buffer, MalformedMessageError
+from .client import MAX_OPEN_REQUESTS, Client
 from .connection import Connection, SendBufferPool
 from .counters import Counters
+from .handshake_filter import block_new_handshakes
 from .log import Log
-from .message_reader import MessageReader
 from .message_reader import read_messages as read_messages  # users of this package find it here
-from .messagepack import IncompleteMessageError, pack
-from .request_context import MAX_BODY_BYTES, DecodedRequest, RequestContext
-from .scheduler import READ, Scheduler, Timer
-
-OVERLOADED, FAILED = "Overloaded", "Failed"  # error texts of a rejection and of a failed request
-ID_PATTERN, KEY_PATTERN = re.compile("[0-9a-f]{16}"), re.compile("[0-9a-f]{32}")
-INTEGER_PATTERN, DECIMAL_PATTERN, FLAG_PATTERN = (
-    re.compile("[0-9]{1,18}"),
-    re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?"),
-    re.compile("1"),
-)
-MAX_FIELD_CHARS = 256  # tenant names may be long
-MAX_NEED_KB = 2000  # memory that a request reserves; exclusive
-MAX_TIMEOUT_MS = 3_600_000  # no caller waits for an hour; also used where a request names no timeout
-MAX_OPEN_REQUESTS = 32  # per connection
-MAX_CALLERS_PER_CONNECTION = (
-    8  # a connection belongs to one router; further numbers get no quota of their own
-)
+from .request_context import DecodedRequest, RequestContext
+from .scheduler import READ, Scheduler
+
 MAX_UNSENT_BYTES = MAX_OPEN_REQUESTS * 5_120  # a response of the largest size for each open request
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_DELAY = 200  # 20 ms, when there is no room or the system has no descriptor left
@@ -59,7 +33,6 @@
 SILENT_EVICTION_AGE = 2_000  # a connection without a message is the first to be evicted after 200 ms
 IDLE_EVICTION_AGE = 20_000  # an idle one that was used within 2 s is evicted after all silent ones
 MIN_EVICTION_AGE = 500  # and is never evicted within 50 ms: its first request is on its way
-CLOSING_TIMEOUT = 20_000  # 2 s from the `closing` notification to the close, if no request is open
 DRAIN_CLOSING_TIMEOUT = 5_000  # 500 ms while draining: the process has a deadline, but routers may read late
 FINAL_ACCEPT_DELAY = 100  # 10 ms for handshakes in progress to reach the accept queue
 MIN_LINGERING_CONNECTIONS = 4  # allowed beside the open ones, in addition to an eighth of the limit
@@ -67,252 +40,7 @@
 MIN_LINGER_TIME_UNSENT = 2_000  # or 200 ms, if some are still unsent
 MAX_EVICTION_CANDIDATES = 8  # connections considered for one eviction
 MAX_FINAL_READS = 16  # before a connection is closed; one read may not take all that was received
-MAX_TURN_MESSAGES = 16  # that one connection has handled before the others get their turn
-MAX_TURN_VALUES = 1_024  # in these messages
 MAX_ACCEPTED_PER_TURN = 8  # connections
-SO_ATTACH_FILTER = 26  # Linux; not in the socket module
-# Classic BPF on a TCP header: loads the flags, drops the packet if SYN is set, else keeps it whole.
-DROP_SYN_FILTER = ((0x30, 0, 0, 13), (0x45, 0, 1, 2), (0x06, 0, 0, 0), (0x06, 0, 0, 0xFFFFFFFF))
-
-
-class MessageType:
-    """The first item of a message."""
-
-    REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
-
-
-def parse_field(fields: dict[str, str], name: str, pattern: Pattern[str]) -> str:
-    """Return the value of a field that has the form of `pattern`.
-
-    Raises:
-        InvalidInputError: If it is absent or does not match the pattern.
-    """
-    value = fields.get(name, "")
-    if not pattern.fullmatch(value):
-        raise InvalidInputError(f"{name} is absent or of a wrong form: {value[:40]!r}")
-    return value
-
-
-def parse_number(fields: dict[str, str], name: str, pattern: Pattern[str], low: float, high: float) -> float:
-    """Return the value of a field as a number from `low` (inclusive) to `high` (exclusive).
-
-    Raises:
-        InvalidInputError: If it is absent, does not match the pattern or is out of range.
-    """
-    value = float(parse_field(fields, name, pattern))
-    if not low <= value < high:
-        raise InvalidInputError(f"{name} is out of range: {value:.15g}")
-    return value
-
-
-def decode_request(class_name: str, params: list[Any]) -> DecodedRequest:
-    """Decode and validate the parameters of a request.
-
-    Args:
-        class_name: The method of the message: the name of a request class.
-        params: The fields, as a map of strings, and the body.
-
-    Raises:
-        InvalidInputError: If a field or the body is invalid; its text is sent to the router.
-    """
-    match params:
-        case [dict(fields), bytes(body)] if len(body) <= MAX_BODY_BYTES:
-            pass
-        case _:
-            raise InvalidInputError(f"not fields and a body of at most {MAX_BODY_BYTES} bytes")
-    for field, value in fields.items():
-        if not isinstance(field, str) or not isinstance(value, str) or len(value) > MAX_FIELD_CHARS:
-            raise InvalidInputError(f"a field that is not text of at most {MAX_FIELD_CHARS} characters")
-    parse_number(fields, "level", DECIMAL_PATTERN, 0, 1)
-    need = parse_number(fields, "need", DECIMAL_PATTERN, 0, MAX_NEED_KB)
-    if not need:
-        raise InvalidInputError("need is 0")
-    if "subject" in fields:
-        parse_field(fields, "subject", ID_PATTERN)
-    return DecodedRequest(
-        request_id=parse_field(fields, "req", ID_PATTERN),
-        class_name=class_name,
-        body=body,
-        router_timestamp=int(parse_number(fields, "ts", INTEGER_PATTERN, 0, 1 << 50)) * MS,
-        # Without a timeout of the caller, the deadline of the request class applies.
-        timeout=int(
-            parse_number(fields, "timeout", INTEGER_PATTERN, 1, MAX_TIMEOUT_MS)
-            if "timeout" in fields
-            else MAX_TIMEOUT_MS
-        )
-        * MS,
-        caller=int(parse_field(fields, "via", INTEGER_PATTERN)),
-        tenant=fields.get("owner", ""),
-        size=ceil(need * 1024),
-        is_retry="resent" in fields and bool(parse_field(fields, "resent", FLAG_PATTERN)),
-        idempotency_key=parse_field(fields, "opkey", KEY_PATTERN) if "opkey" in fields else "",
-        has_subject="subject" in fields,
-    )
-
-
-class Client:
-    """The connection of one router.
-
-    Attributes:
-        open_requests: Requests without a response, by message id.
-        reader: Reads the messages from the buffer of the connection.
-        callers: The numbers of callers that requests named, up to `MAX_CALLERS_PER_CONNECTION`.
-        highest_message_id: The highest id received; ids of requests must increase on a connection.
-        closing_sent: Whether the router was notified that this connection closes.
-        closing_timer: Closes the connection after that, if the router does not.
-    """
-
-    def __init__(self, clients: Clients, connection: Connection) -> None:
-        """Wrap a connection that was accepted."""
-        self.clients, self.connection = clients, connection
-        self.open_requests: dict[int, RequestContext] = {}
-        self.reader = MessageReader()
-        self.callers: dict[int, None] = {}
-        self.highest_message_id = 0
-        self.closing_sent = False
-        self.closing_timer: Timer | None = None
-
-    def on_data(self, buffer: Buffer) -> None:
-        """Handle the complete messages in the buffer, as far as one turn goes.
-
-        The rest waits for the next turn, so that no connection keeps the others from theirs.
-
-        Raises:
-            MalformedMessageError: If the data is malformed; messages before it are handled.
-        """
-        message_count = value_count = 0
-        self.connection.has_backlog = False
-        try:
-            while len(buffer) and not self.connection.has_backlog:
-                message, values = self.reader.next_message(buffer)
-                message_count, value_count = message_count + 1, value_count + values
-                self.handle_message(message)
-                is_turn_over = message_count >= MAX_TURN_MESSAGES or value_count >= MAX_TURN_VALUES
-                self.connection.has_backlog = is_turn_over and len(buffer) > 0
-        except IncompleteMessageError:
-            pass
-        self.clients.on_messages_read(self, has_message=message_count > 0, has_partial=len(buffer) > 0)
-
-    def handle_message(self, message: Any) -> None:
-        """Handle a health check, a request or a notification.
-
-        A request beyond `MAX_OPEN_REQUESTS` gets an error; an unknown notification is only counted.
-
-        Raises:
-            MalformedMessageError: If it is none of these.
-        """
-        match message:
-            case [MessageType.REQUEST, int(), str(method), list(params)] if self.highest_message_id < message[
-                1
-            ] < 1 << 32:
-                message_id = self.highest_message_id = message[1]
-                # A request class may be named "ping" too; its requests have a body after the fields.
-                if method == "ping" and len(params) < 2:
-                    self.clients.counters.count("clients.pings")
-                    self.send(
-                        pack(
-                            [
-                                MessageType.RESPONSE,
-                                message_id,
-                                None,
-                                [self.clients.healthy, self.clients.health_details()],
-                            ]
-                        )
-                    )
-                elif len(self.open_requests) >= MAX_OPEN_REQUESTS:
-                    self.clients.counters.count("clients.too_many")
-                    self.send_error(message_id, f"more than {MAX_OPEN_REQUESTS} open transactions")
-                else:
-                    self.clients.on_request(self, message_id, partial(self.decode_request, method, params))
-            case [MessageType.NOTIFICATION, "abort", [int(message_id)]]:
-                context = self.open_requests.get(message_id)
-                if context is not None:
-                    self.clients.on_disconnected(context)
-            case [MessageType.NOTIFICATION, str(), list()]:
-                self.clients.counters.count("clients.unknown_news")
-            case [MessageType.REQUEST, int(), *_]:
-                raise MalformedMessageError(
-                    f"request id {message[1]} is not above {self.highest_message_id}, or malformed request"
-                )
-            case _:
-                raise MalformedMessageError("unknown type or form of message")
-
-    def decode_request(self, method: str, params: list[Any]) -> DecodedRequest:
-        """Decode a request; one with too many different callers on its connection counts as the first one's.
-
-        Raises:
-            InvalidInputError: If a field or the body is invalid; its text is sent to the router.
-        """
-        decoded = decode_request(method, params)
-        if len(self.callers) < MAX_CALLERS_PER_CONNECTION:
-            self.callers[decoded.caller] = None
-        elif decoded.caller not in self.callers:
-            decoded.caller = next(iter(self.callers))
-        return decoded
-
-    # ---- responses -----------------------------------------------------------------------------------------
-
-    def send_result(self, message_id: int, body: bytes) -> None:
-        """Send the result of a request that succeeded."""
-        self.send(pack([MessageType.RESPONSE, message_id, None, [body, {}]]))
-
-    def send_rejection(self, message_id: int, retry_after: int, stop_retrying: bool) -> None:
-        """Send the rejection of a request that never ran.
-
-        Args:
-            message_id: Id of the request's message.
-            retry_after: Advised delay before a retry; sent in whole milliseconds, rounded up. 0 sends none.
-            stop_retrying: Whether the router shall not retry on another app server either.
-        """
-        fields = {"holdoff": str(-(-retry_after // MS))} if retry_after else {}
-        if stop_retrying:
-            fields["nomore"] = "1"
-        self.send(pack([MessageType.RESPONSE, message_id, [OVERLOADED, fields], None]))
-
-    def send_error(self, message_id: int, reason: str = FAILED) -> None:
-        """Send that a request failed, with the error text `reason` and no advised delay before a retry."""
-        self.send(pack([MessageType.RESPONSE, message_id, [reason, {}], None]))
-
-    def send(self, message: bytes) -> None:
-        """Send an encoded message at the end of the pass; this counts as a use of the connection."""
-        self.connection.write(message)
-        self.clients.update_idle(self)
-
-    def has_peer_closed(self) -> bool:
-        """Return whether the connection has ended, or its end has arrived, perhaps behind unread data."""
-        return not self.connection.open or self.connection.has_peer_closed()
-
-    def send_closing(self, timeout: int = CLOSING_TIMEOUT) -> None:
-        """Notify the router that the connection closes; do nothing if it was notified before.
-
-        The router sends no new requests on it, and closes it after the last response. After `timeout` this
-        side closes it.
-        """
-        if not self.closing_sent and self.connection.open:
-            self.closing_sent = True
-            self.connection.write(pack([MessageType.NOTIFICATION, "closing", []]))
-            self.clients.counters.count("clients.told_closing")
-            self.schedule_close(timeout)
-
-    def schedule_close(self, timeout: int) -> None:
-        """Close the connection after `timeout` unless it is in use then; if it is, check again as often.
-
-        It is in use while a request is open or a message incomplete.
-        """
-
-        def close_or_reschedule() -> None:
-            if self in self.clients.active and not self.clients.close_if_idle(self, "closing"):
-                self.schedule_close(timeout)
-
-        self.closing_timer = self.clients.scheduler.at(
-            self.clients.scheduler.now + timeout, close_or_reschedule
-        )
-
-    def on_malformed(self, reason: str) -> None:
-        """Close the connection gracefully; requests read before the malformed data get their responses."""
-        self.clients.counters.count("clients.malformed")
-        self.clients.log.fault("malformed_router_message", why=reason)
-        self.clients.close_client(self, reason)
 
 
 class Clients:
@@ -712,16 +440,3 @@
         self.close_listener()
         for client in [*self.active, *self.lingering]:
             client.connection.close("process exits")
-
-
-def block_new_handshakes(listener: socket.socket) -> None:
-    """Make the system drop new SYN packets to a listener.
-
-    Peers retransmit them, and are refused once the listener is closed. Otherwise the system could
-    complete a handshake between the last `accept` and the close of the listener: the close would reset that
-    connection, and its request would be lost. A system that does not accept the filter keeps that gap.
-    """
-    instructions = array("B", b"".join(struct.pack("HBBI", *line) for line in DROP_SYN_FILTER))
-    filter_program = struct.pack("HP", len(DROP_SYN_FILTER), instructions.buffer_info()[0])
-    with suppress(OSError):
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_program)
--- a/birchslip/net/stages/request_decoder.py
+++ b/birchslip/net/stages/request_decoder.py
@@ -9,7 +9,7 @@
 
 from ...admission.types import AdmissionSettings, Idempotency, Request, Tenant
 from ...errors import InvalidInputError
-from ..clients import Client
+from ..client import Client
 from ..counters import Counters
 from ..log import Log
 from ..request_context import MAX_CLOCK_SKEW, DecodedRequest, RequestContext
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -10,14 +10,14 @@
 from birchslip.admission.types import Outcome
 from birchslip.net.agent_orders import PendingOrder
 from birchslip.net.bounds import KEY_BYTES
-from birchslip.net.clients import (
-    MAX_ACCEPTED_PER_TURN,
+from birchslip.net.client import (
     MAX_CALLERS_PER_CONNECTION,
     MAX_OPEN_REQUESTS,
     MAX_TURN_MESSAGES,
     MAX_TURN_VALUES,
     Client,
 )
+from birchslip.net.clients import MAX_ACCEPTED_PER_TURN
 from birchslip.net.connection import MAX_TURN_PAUSE, TURN_PAUSE_FACTOR
 from birchslip.net.messagepack import pack
 from birchslip.net.request_context import MAX_BODY_BYTES
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,8 +8,8 @@
 import pytest
 
 from birchslip.admission.types import Outcome
+from birchslip.net.client import CLOSING_TIMEOUT
 from birchslip.net.clients import (
-    CLOSING_TIMEOUT,
     FINAL_ACCEPT_DELAY,
     MESSAGE_CHECK_INTERVAL,
     MESSAGE_TIMEOUT,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 from birchslip.admission.types import SECOND, Downstream, Idempotency, Preemption
 from birchslip.errors import InvalidInputError
 from birchslip.net.bounds import MIN_SOCKETS
-from birchslip.net.clients import MAX_FIELD_CHARS, MAX_TIMEOUT_MS, decode_request
+from birchslip.net.request_decoding import MAX_FIELD_CHARS, MAX_TIMEOUT_MS, decode_request
 from birchslip.net.site import parse_config
 from examples.toy import CONFIGURATION
 
--- a/tests/test_socket_wire_record.py
+++ b/tests/test_socket_wire_record.py
@@ -6,9 +6,10 @@
 import pytest
 
 from birchslip.net import http
-from birchslip.net.clients import Client, decode_request
+from birchslip.net.client import Client
 from birchslip.net.messagepack import pack, unpack
 from birchslip.net.program import Program
+from birchslip.net.request_decoding import decode_request
 from birchslip.net.site import parse_config
 from examples.toy import CONFIGURATION
 
