Read a candidate for eviction once, and give a backlog no turns beside its own

Seen when the evictions were read again: at the limit of connections a candidate had up to 16 turns in the pass of each newcomer, and an event on a connection with a backlog began its next turn at once. 100 health checks of an idle candidate were handled in one pass.

Change: an idle candidate is read once, which shows whether it is in use; one with a backlog is. A silent one is read until its first message. A connection with a backlog waits for its turn whatever its events.

--- a/birchslip/net/clients.py
+++ b/birchslip/net/clients.py
@@ -312,15 +312,18 @@
 
     def evict_if_silent(self, client: Client) -> bool:
         """Evict a connection, unless it has sent a whole message by now; return whether it is evicted."""
-        self.read_pending(client)
-        if client in self.awaiting_first_message:
-            self.evict(client)
+        reads = 0
+        while client in self.awaiting_first_message and reads < MAX_FINAL_READS:
+            reads += 1
+            if not client.connection.read(client.on_data):
+                self.evict(client)
         return client not in self.active
 
     def evict_if_unused(self, client: Client) -> bool:
         """Evict an idle connection, unless anything has arrived on it; return whether it is evicted."""
-        is_unused = not self.read_pending(client) and not len(client.connection.buffer)
-        if is_unused and not client.open_requests and client in self.active:
+        has_input = client.connection.has_backlog or client.connection.read(client.on_data)
+        is_in_use = has_input or client.open_requests or len(client.connection.buffer)
+        if not is_in_use and client in self.active:
             self.evict(client)
         return client not in self.active
 
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -124,8 +124,11 @@
             self.close("ended by the peer")
         if self.open and events & WRITE:
             self.flush()
-        is_turn_due = self.has_backlog and self.scheduler.now >= self.next_turn_at
-        if self.open and (is_turn_due or events & (READ | HANGUP_OR_ERROR)):
+        if self.has_backlog:
+            is_due = self.scheduler.now >= self.next_turn_at
+        else:
+            is_due = events & (READ | HANGUP_OR_ERROR) != 0
+        if self.open and is_due:
             self.read(on_data)
         return events
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -242,6 +242,21 @@
     assert honest.answer(honest.number)[0] is None
 
 
+def test_eviction_gives_a_connection_with_a_backlog_no_further_turns(start):
+    harness = start(max_connections=2)
+    flooder, honest = harness.connect_router(), harness.connect_router()
+    for router in (flooder, honest):
+        router.ping()
+        harness.run_passes()
+    harness.run_passes(ms=3_000)
+    numbers = send_pings(flooder, 100)
+    harness.connect_router()
+    assert handled_in_next_pass(harness) <= 2 * MAX_TURN_MESSAGES  # as a candidate, and in its own turn
+    assert handled_in_next_pass(harness) <= MAX_TURN_MESSAGES
+    harness.run_passes(count=10)
+    assert all(flooder.answer(number)[0] is None for number in numbers)
+
+
 # ---- clients that leave ------------------------------------------------------------------------------------
 
 
