--- a/benchmarks/bad_clients.py
+++ b/benchmarks/bad_clients.py
@@ -4,15 +4,15 @@
 
 One app server runs among this project's stand-ins. Two honest routers send a request of 20 ms each 100 ms.
 The bad clients of one kind (`birchslip/lab/bad_clients.py`) run in a process of their own from the third
-second on. The report has the honest requests by outcome, how many were answered within the aim and the
-deadline of
-their class, the highest resident memory, and the counters of the app server.
+second on. The report has the honest requests by outcome, how many were answered past the aim and the deadline
+of their class, the highest resident memory, and the counters of the app server.
 """
 
 from __future__ import annotations
 
 import argparse
 import json
+import multiprocessing
 import os
 import signal
 import subprocess
@@ -29,6 +29,7 @@
 from birchslip.lab.bad_clients import BadClientKind, run_bad_clients  # noqa: E402
 from birchslip.lab.toy import Agent, Catalog, Router, Vault  # noqa: E402
 from birchslip.lab.wires import free_port  # noqa: E402
+from birchslip.net.program import read_memory_kb  # noqa: E402
 from examples.toy import CONFIGURATION  # noqa: E402
 
 AIM_S, DEADLINE_S = 1.0, 4.0  # of the class "lookup" in the example configuration
@@ -55,15 +56,6 @@
         time.sleep(PAUSE_S)
 
 
-def resident_kb(process_id: int, field: str) -> int:
-    """Return a figure of the status of a process in KB, 0 if it has ended."""
-    try:
-        status = Path(f"/proc/{process_id}/status").read_text()
-    except OSError:
-        return 0
-    return next((int(line.split()[1]) for line in status.splitlines() if line.startswith(f"{field}:")), 0)
-
-
 def play(kind: BadClientKind, clients: int, memory_mb: int, seconds: float) -> dict[str, object]:
     """Run one app server with honest routers and bad clients, and return the report."""
     agent, vault, catalog = Agent(), Vault(), Catalog()
@@ -92,12 +84,14 @@
             for router in routers:
                 router.start()
             time.sleep(CALM_S)
-            arguments = ["--attack", address, "--clients", str(clients), "--seconds", str(seconds)]
-            attack = subprocess.Popen([sys.executable, __file__, kind.value, *arguments])
+            attack = multiprocessing.get_context("spawn").Process(
+                target=run_bad_clients, args=(address, kind, clients, seconds)
+            )
+            attack.start()
             for router in routers:
                 router.join()
-            peak_kb, end_kb = resident_kb(server.pid, "VmHWM"), resident_kb(server.pid, "VmRSS")
-            attack.wait()
+            peak_kb, end_kb = read_memory_kb("VmHWM", server.pid), read_memory_kb("VmRSS", server.pid)
+            attack.join()
             server.send_signal(signal.SIGUSR1)
             time.sleep(0.5)
             cpu_line = next((line for line in reversed(log_lines(log)) if "cpu_ms" in line), "")
@@ -130,12 +124,8 @@
     parser.add_argument("--memory", type=int, default=192)
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--verbose", action="store_true")
-    parser.add_argument("--attack", help=argparse.SUPPRESS)
     options = parser.parse_args()
     kind = BadClientKind(options.kind)
-    if options.attack:
-        run_bad_clients(options.attack, kind, options.clients, options.seconds)
-        return
     report = play(kind, options.clients, options.memory, options.seconds)
     if not options.verbose:
         del report["counters"]
--- a/birchslip/lab/bad_clients.py
+++ b/birchslip/lab/bad_clients.py
@@ -18,6 +18,7 @@
 from itertools import count
 
 from ..net.messagepack import pack
+from .toy import request_fields
 
 RECONNECT_S = 0.02
 MAX_READ_BYTES = 1 << 16
@@ -27,6 +28,7 @@
 SLOW_PIECE_BYTES, SLOW_PAUSE_S = 64, 0.01
 HALF_PIECE_BYTES, HALF_PAUSE_S = 1024, 0.01
 FLOOD_MESSAGES = 256  # encoded at a time
+SENDER = {"via": "9", "owner": "green", "timeout": "3900", "need": "1"}  # fields of requests
 
 
 class BadClientKind(StrEnum):
@@ -42,22 +44,11 @@
     TAKEN_BACK = "taken-back"  # requests that are taken back at once, at full speed
 
 
-def request_fields(**fields: str) -> dict[str, str]:
-    """Return the fields of a request with a new id, but for those that are given."""
-    return {
-        "req": os.urandom(8).hex(),
-        "ts": str(time.time_ns() // 1_000_000),
-        "via": "9",
-        "owner": "green",
-        "timeout": "3900",
-        "need": "1",
-        "level": "0.5",
-    } | fields
-
-
 def large_request() -> bytes:
     """Return a keyed request with the largest body."""
-    return pack([0, 1, "order", [request_fields(opkey=os.urandom(16).hex()), os.urandom(BODY_BYTES)]])
+    return pack(
+        [0, 1, "order", [request_fields(**SENDER, opkey=os.urandom(16).hex()), os.urandom(BODY_BYTES)]]
+    )
 
 
 @cache
@@ -87,7 +78,7 @@
 
 
 def _taken_back(number: int) -> bytes:
-    fields = request_fields(opkey=os.urandom(16).hex())
+    fields = request_fields(**SENDER, opkey=os.urandom(16).hex())
     return pack([0, number, "order", [fields, b"1"]]) + pack([2, "abort", [number]])
 
 
@@ -95,10 +86,10 @@
     BadClientKind.PINGS: lambda number: pack([0, number, "ping", [{}]]),
     BadClientKind.UNSOUND: lambda number: pack([0, number, "x", []]),
     BadClientKind.NEW_NAMES: lambda number: pack(
-        [0, number, "lookup", [request_fields(via=str(random.getrandbits(50))), b"1"]]
+        [0, number, "lookup", [request_fields(**SENDER | {"via": str(random.getrandbits(50))}), b"1"]]
     ),
     BadClientKind.UNKNOWN_TENANTS: lambda number: pack(
-        [0, number, "lookup", [request_fields(owner=os.urandom(16).hex()), b"1"]]
+        [0, number, "lookup", [request_fields(**SENDER | {"owner": os.urandom(16).hex()}), b"1"]]
     ),
     BadClientKind.TAKEN_BACK: _taken_back,
 }
--- a/birchslip/lab/toy.py
+++ b/birchslip/lab/toy.py
@@ -307,6 +307,19 @@
             connection.sendall(f"HTTP/1.1 {self.status} So\r\nContent-Length: 0\r\n\r\n".encode())
 
 
+def request_fields(**fields: str) -> dict[str, str]:
+    """Return the fields of a request with a new id; `fields` replace the default ones."""
+    return {
+        "req": os.urandom(8).hex(),
+        "ts": str(time.time_ns() // 1_000_000),
+        "via": "1",
+        "owner": "blue",
+        "timeout": "3000",
+        "need": "10",
+        "level": "0.5",
+    } | fields
+
+
 class Router:
     """A client connection to an app server, as a router has it.
 
@@ -333,16 +346,7 @@
             fields: Fields that replace the default ones.
         """
         self.number += 1
-        default_fields = {
-            "req": os.urandom(8).hex(),
-            "ts": str(time.time_ns() // 1_000_000),
-            "via": "1",
-            "owner": "blue",
-            "timeout": "3000",
-            "need": "10",
-            "level": "0.5",
-        }
-        self.connection.sendall(pack([0, self.number, request_class, [default_fields | fields, body]]))
+        self.connection.sendall(pack([0, self.number, request_class, [request_fields(**fields), body]]))
         return self.number
 
     def ping(self) -> int:
--- a/birchslip/net/connection.py
+++ b/birchslip/net/connection.py
@@ -142,7 +142,7 @@
         try:
             had_data = self.read_once(on_data)
         except MalformedMessageError as error:
-            self.malformed, self.has_backlog = True, False
+            self.malformed = True
             (self.on_malformed or self.close)(str(error))
             return False
         if self.has_backlog:
--- a/birchslip/net/message_reader.py
+++ b/birchslip/net/message_reader.py
@@ -12,12 +12,12 @@
 from .buffer import Buffer, MalformedMessageError
 from .messagepack import (
     MAX_DEPTH,
-    MAX_ITEMS,
-    MAX_VALUE_BYTES,
     NUMBER_FORMATS,
     SINGLE_BYTE_VALUES,
     SIZED_TYPES,
     IncompleteMessageError,
+    check_count,
+    check_size,
     unpack,
 )
 
@@ -119,24 +119,12 @@
         raise IncompleteMessageError
     length = int.from_bytes(view[offset + 1 : offset + head_size], "big")
     if kind in ("array", "map"):
-        return head_size, check_item_count(kind, length) * (2 if kind == "map" else 1)
-    if length > MAX_VALUE_BYTES:
-        raise MalformedMessageError(f"{length} bytes in one value, {MAX_VALUE_BYTES} at most")
+        check_count(kind, length)
+        return head_size, 2 * length if kind == "map" else length
+    check_size(length)
     return head_size + length, 0
 
 
-def check_item_count(kind: str, count: int) -> int:
-    """Return the number of items of an array or pairs of a map.
-
-    Raises:
-        MalformedMessageError: If there are too many.
-    """
-    if count > MAX_ITEMS:
-        items = "items in one array" if kind == "array" else "pairs in one map"
-        raise MalformedMessageError(f"{count} {items}, {MAX_ITEMS} at most")
-    return count
-
-
 def read_messages(buffer: Buffer, reader: MessageReader | None = None) -> tuple[list[Any], str]:
     """Remove all complete messages from a buffer and return them; an incomplete one stays.
 
--- a/birchslip/net/messagepack.py
+++ b/birchslip/net/messagepack.py
@@ -113,12 +113,32 @@
         IncompleteMessageError: If the value continues past `end`.
         MalformedMessageError: If it is longer than `MAX_VALUE_BYTES`.
     """
-    if size > MAX_VALUE_BYTES:
-        raise MalformedMessageError(f"{size} bytes in one value, {MAX_VALUE_BYTES} at most")
+    check_size(size)
     if offset + size > end:
         raise IncompleteMessageError
 
 
+def check_size(size: int) -> None:
+    """Check the bytes of one string or binary value.
+
+    Raises:
+        MalformedMessageError: If there are more than `MAX_VALUE_BYTES`.
+    """
+    if size > MAX_VALUE_BYTES:
+        raise MalformedMessageError(f"{size} bytes in one value, {MAX_VALUE_BYTES} at most")
+
+
+def check_count(kind: str, count: int) -> None:
+    """Check the items of one "array", or the pairs of one "map".
+
+    Raises:
+        MalformedMessageError: If there are more than `MAX_ITEMS`.
+    """
+    if count > MAX_ITEMS:
+        items = "items" if kind == "array" else "pairs"
+        raise MalformedMessageError(f"{count} {items} in one {kind}, {MAX_ITEMS} at most")
+
+
 def unpack_string(view: memoryview, offset: int, end: int, size: int) -> tuple[str, int]:
     """Decode a UTF-8 string of `size` bytes at `offset`; return it and the index after it.
 
@@ -142,8 +162,7 @@
         IncompleteMessageError: If an item continues past `end`.
         MalformedMessageError: If there are too many items, or one of them is not valid.
     """
-    if count > MAX_ITEMS:
-        raise MalformedMessageError(f"{count} items in one array, {MAX_ITEMS} at most")
+    check_count("array", count)
     items = []
     for _ in range(count):
         item, offset = unpack(view, offset, end, depth + 1)
@@ -160,8 +179,7 @@
         IncompleteMessageError: If a key or value continues past `end`.
         MalformedMessageError: If there are too many pairs, a key is an array or a map, or an item is invalid.
     """
-    if count > MAX_ITEMS:
-        raise MalformedMessageError(f"{count} pairs in one map, {MAX_ITEMS} at most")
+    check_count("map", count)
     pairs: dict[Any, Any] = {}
     for _ in range(count):
         key, offset = unpack(view, offset, end, depth + 1)
--- a/birchslip/net/program.py
+++ b/birchslip/net/program.py
@@ -145,12 +145,12 @@
         ...
 
 
-def read_memory_kb(field: str = "VmRSS") -> int:
-    """Return the process's resident memory in KB, or its peak with `VmHWM`; 0 if it is not known.
+def read_memory_kb(field: str = "VmRSS", process: int | str = "self") -> int:
+    """Return a process's resident memory in KB, or its peak with `VmHWM`; 0 if it is not known.
 
     `getrusage` is not used: its peak includes the parent's memory before `exec`.
     """
-    with open("/proc/self/status", encoding="ascii") as status:
+    with open(f"/proc/{process}/status", encoding="ascii") as status:
         return next((int(line.split()[1]) for line in status if line.startswith(f"{field}:")), 0)
 
 
--- a/tests/socket_harness.py
+++ b/tests/socket_harness.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 import termios
-from contextlib import suppress
+from contextlib import ExitStack, closing, suppress
 
 from birchslip.admission.types import MS
 from birchslip.lab.toy import Router
@@ -146,6 +146,12 @@
             sock.close()
 
 
+def start_program_harnesses():
+    """Yield a function that starts a `ProgramHarness` with its arguments; close all of them afterwards."""
+    with ExitStack() as harnesses:
+        yield lambda **options: harnesses.enter_context(closing(ProgramHarness(**options)))
+
+
 class FakeServer:
     """A listening socket that records what each accepted connection receives.
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -22,22 +22,14 @@
 from birchslip.net.messagepack import pack
 from birchslip.net.request_context import MAX_BODY_BYTES
 
-from .socket_harness import ProgramHarness, wait_until_delivered
+from .socket_harness import start_program_harnesses, wait_until_delivered
 
 KEY, RUN_ID = "1" * 32, "2" * 16
 
 
 @pytest.fixture
 def start():
-    harnesses = []
-
-    def build(**options):
-        harnesses.append(ProgramHarness(**options))
-        return harnesses[-1]
-
-    yield build
-    for harness in harnesses:
-        harness.close()
+    yield from start_program_harnesses()
 
 
 # Guards against one connection that takes the quotas of others down with ever new numbers of callers.
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -19,7 +19,7 @@
 from birchslip.net.program import Phase
 from birchslip.net.request_context import IdempotencyEntry
 
-from .socket_harness import ProgramHarness
+from .socket_harness import start_program_harnesses
 
 KEY = "1" * 32
 PAST_CLOSING_TIMEOUT_MS = CLOSING_TIMEOUT // 10 + 1
@@ -27,15 +27,7 @@
 
 @pytest.fixture
 def start():
-    harnesses = []
-
-    def build(**options):
-        harnesses.append(ProgramHarness(**options))
-        return harnesses[-1]
-
-    yield build
-    for harness in harnesses:
-        harness.close()
+    yield from start_program_harnesses()
 
 
 def read_until_end(router):
